Build skeleton, protocol messages and shared types

Cause: the modules need common ids, errors, messages and interfaces before they can be written side by side. Change: Maven modules protocol, standins and product; formatter, linter and Error Prone in the build; protobuf messages with generated code; configuration versions that are checked and applied whole; interfaces between modules.

--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/common/Digest.java
@@ -0,0 +1,59 @@
+package io.foxtaildoor.common;
+
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+
+/** A SHA-256 digest as 64 lower-case hexadecimal digits. */
+public record Digest(String hex) {
+  /** Length in bytes. */
+  public static final int BYTES = 32;
+
+  private static final int HEX_DIGITS = 2 * BYTES;
+
+  /**
+   * Creates a digest from its text form.
+   *
+   * @throws FoxtaildoorException with {@link ErrorKind#INVALID_INPUT} when the text is malformed
+   */
+  public Digest {
+    if (hex == null || hex.length() != HEX_DIGITS || !hex.matches("[0-9a-f]+")) {
+      throw new FoxtaildoorException(
+          ErrorKind.INVALID_INPUT, "a digest must have 64 lower-case hexadecimal digits");
+    }
+  }
+
+  /** Computes the digest of a content. */
+  public static Digest of(byte[] content) {
+    return ofBytes(sha256().digest(content));
+  }
+
+  /** Wraps the 32 bytes of a digest. */
+  public static Digest ofBytes(byte[] digest) {
+    return new Digest(HexFormat.of().formatHex(digest));
+  }
+
+  /** Returns a new SHA-256 computation. */
+  public static MessageDigest sha256() {
+    try {
+      return MessageDigest.getInstance("SHA-256");
+    } catch (NoSuchAlgorithmException e) {
+      throw new FoxtaildoorException(ErrorKind.INTERNAL, "SHA-256 is missing", e);
+    }
+  }
+
+  /** Returns the 32 bytes. */
+  public byte[] bytes() {
+    return HexFormat.of().parseHex(hex);
+  }
+
+  /** Returns the first 12 digits, for people. */
+  public String abbreviated() {
+    return hex.substring(0, 12);
+  }
+
+  @Override
+  public String toString() {
+    return hex;
+  }
+}
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/common/NodeId.java
@@ -0,0 +1,23 @@
+package io.foxtaildoor.common;
+
+/** Id of a node, unique for each process start. */
+public record NodeId(String value) implements Comparable<NodeId> {
+  /**
+   * Creates an id.
+   *
+   * @throws FoxtaildoorException with {@link ErrorKind#INVALID_INPUT} when the value is malformed
+   */
+  public NodeId {
+    Identifiers.check("node id", value);
+  }
+
+  @Override
+  public int compareTo(NodeId other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/common/package-info.java
@@ -0,0 +1,2 @@
+/** Value types and the closed list of errors that every other package uses. */
+package io.foxtaildoor.common;
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/process/platform/PlatformLease.java
@@ -0,0 +1,10 @@
+package io.foxtaildoor.process.platform;
+
+import java.time.Duration;
+
+/**
+ * A lease held on a key.
+ *
+ * @param token identifies this holding; another holding of the same key has a larger token
+ */
+public record PlatformLease(String key, String holder, long token, Duration timeToLive) {}
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/version/manifest/ConfigurationHolder.java
@@ -0,0 +1,91 @@
+package io.foxtaildoor.version.manifest;
+
+import io.foxtaildoor.common.Digest;
+import io.foxtaildoor.common.FoxtaildoorException;
+import io.foxtaildoor.process.invariant.Invariant;
+import io.foxtaildoor.process.invariant.Invariants;
+import io.foxtaildoor.version.routing.Route;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Consumer;
+
+/** The configuration in force on a node; replaced whole and only by a newer version. */
+public final class ConfigurationHolder {
+  private final Invariants invariants;
+  private final List<Consumer<HeldConfiguration>> listeners = new CopyOnWriteArrayList<>();
+  private final Object lock = new Object();
+  private volatile HeldConfiguration current = HeldConfiguration.EMPTY;
+  private volatile ApplyResult.Rejected lastRejection;
+
+  /** Creates a holder without a version. */
+  public ConfigurationHolder(Invariants invariants) {
+    this.invariants = invariants;
+  }
+
+  /** The configuration in force. */
+  public HeldConfiguration current() {
+    return current;
+  }
+
+  /** The last version that failed its checks. */
+  public Optional<ApplyResult.Rejected> lastRejection() {
+    return Optional.ofNullable(lastRejection);
+  }
+
+  /** Calls the listener after each applied version, in the order of versions. */
+  public void addListener(Consumer<HeldConfiguration> listener) {
+    listeners.add(listener);
+  }
+
+  /**
+   * Checks an offered version and applies it whole, or changes nothing.
+   *
+   * @param parts the bytes of all parts of the manifest by digest
+   * @param announced the stamp under which the version was announced
+   */
+  public ApplyResult offer(VersionStamp announced, Manifest manifest, Map<Digest, byte[]> parts) {
+    synchronized (lock) {
+      VersionStamp held = current.stamp();
+      if (!announced.isNewerThan(held)) {
+        return new ApplyResult.NotNewer(held);
+      }
+      if (!announced.equals(manifest.stamp())) {
+        return reject(announced, "the manifest does not have the announced version and digest");
+      }
+      try {
+        apply(HeldConfiguration.build(manifest, parts));
+      } catch (FoxtaildoorException e) {
+        return reject(announced, e.getMessage());
+      }
+      return new ApplyResult.Applied(current);
+    }
+  }
+
+  private ApplyResult reject(VersionStamp offered, String reason) {
+    ApplyResult.Rejected rejection = new ApplyResult.Rejected(offered, reason);
+    lastRejection = rejection;
+    return rejection;
+  }
+
+  private void apply(HeldConfiguration next) {
+    HeldConfiguration former = current;
+    invariants.check(
+        Invariant.VERSION_MONOTONIC,
+        next.stamp().isNewerThan(former.stamp()),
+        () -> former.stamp() + " replaced by " + next.stamp());
+    invariants.check(
+        Invariant.VERSION_WHOLE,
+        next.parts().keySet().containsAll(next.manifest().entries().values()),
+        () -> next.stamp() + " lacks parts");
+    for (Route route : next.routes().routes()) {
+      invariants.check(
+          Invariant.ROUTES_RESOLVE,
+          next.routes().service(route.service()).isPresent(),
+          () -> next.stamp() + " lacks service " + route.service());
+    }
+    current = next;
+    listeners.forEach(listener -> listener.accept(next));
+  }
+}
--- /dev/null
+++ b/product/src/test/java/io/foxtaildoor/process/cli/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the command line. */
+package io.foxtaildoor.process.cli;
--- /dev/null
+++ b/protocol/src/main/java/io/foxtaildoor/protocol/package-info.java
@@ -0,0 +1,2 @@
+/** Messages between nodes, generated from the protocol definitions. */
+package io.foxtaildoor.protocol;
--- /dev/null
+++ b/standins/src/main/java/io/foxtaildoor/standins/package-info.java
@@ -0,0 +1,2 @@
+/** Small stand-ins for what surrounds the product. */
+package io.foxtaildoor.standins;
