Add the platform stand-in

Cause: the client and the reader election need a platform to be tested against. Change: an HTTP/JSON server on one event loop with keys, leases, watches, rate limits, faults over /control and counters by kind. A watch that is pending when a second begins counts as one read of that second.

--- /dev/null
+++ b/standins/src/main/java/io/foxtaildoor/standins/platform/Faults.java
@@ -0,0 +1,95 @@
+package io.foxtaildoor.standins.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** Faults in force and counters of calls by kind; confined to the event loop of the stand-in. */
+final class Faults {
+  private static final long WINDOW_NANOS = 1_000_000_000L;
+  private static final int ALWAYS = -1;
+
+  /** How the stand-in is down. */
+  enum Down {
+    NONE,
+    /** Connections are refused. */
+    REFUSED,
+    /** Requests are read, have no effect and get no answer. */
+    UNANSWERED
+  }
+
+  private final Map<String, Long> calls = new TreeMap<>();
+  private Down down = Down.NONE;
+  private long slowMillis;
+  private int loseAnswers;
+  private int readsPerSecond;
+  private int writesPerSecond;
+  private long windowStartNanos;
+  private int readsInWindow;
+  private int writesInWindow;
+
+  /** Sets the faults that a control document names and leaves the others as they are. */
+  void update(JsonNode document) {
+    if (document.has("down")) {
+      down = Down.valueOf(document.get("down").asText().toUpperCase(Locale.ROOT));
+    }
+    slowMillis = document.path("slowMillis").asLong(slowMillis);
+    loseAnswers = document.path("loseAnswers").asInt(loseAnswers);
+    readsPerSecond = document.path("readsPerSecond").asInt(readsPerSecond);
+    writesPerSecond = document.path("writesPerSecond").asInt(writesPerSecond);
+    if (document.path("resetCounters").asBoolean()) {
+      calls.clear();
+    }
+  }
+
+  void report(ObjectNode report) {
+    report.put("down", down.name().toLowerCase(Locale.ROOT));
+    report.put("slowMillis", slowMillis);
+    report.put("loseAnswers", loseAnswers);
+    report.put("readsPerSecond", readsPerSecond);
+    report.put("writesPerSecond", writesPerSecond);
+    ObjectNode counters = report.putObject("calls");
+    calls.forEach(counters::put);
+  }
+
+  void count(String kind) {
+    calls.merge(kind, 1L, Long::sum);
+  }
+
+  Down down() {
+    return down;
+  }
+
+  long slowMillis() {
+    return slowMillis;
+  }
+
+  /**
+   * Counts a call against its limit; false when it is over the limit. A watch that was pending when
+   * a second began counts as one read of that second, because the platform counts it so.
+   */
+  boolean admit(boolean write, int pendingWatches, long nowNanos) {
+    if (nowNanos - windowStartNanos >= WINDOW_NANOS) {
+      windowStartNanos = nowNanos;
+      readsInWindow = pendingWatches;
+      writesInWindow = 0;
+    }
+    if (write) {
+      writesInWindow++;
+      return writesPerSecond == 0 || writesInWindow <= writesPerSecond;
+    }
+    readsInWindow++;
+    return readsPerSecond == 0 || readsInWindow <= readsPerSecond;
+  }
+
+  /** Whether the answer to a write that took effect is lost. */
+  boolean loseAnswer() {
+    if (loseAnswers > 0) {
+      loseAnswers--;
+      return true;
+    }
+    return loseAnswers == ALWAYS;
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/io/foxtaildoor/standins/platform/PlatformStandIn.java
@@ -0,0 +1,231 @@
+package io.foxtaildoor.standins.platform;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.util.concurrent.Future;
+import io.netty.util.concurrent.Promise;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.kohsuke.args4j.CmdLineException;
+import org.kohsuke.args4j.CmdLineParser;
+import org.kohsuke.args4j.Option;
+
+/**
+ * Stand-in for the platform's key-value service over HTTP/JSON, with all state in memory.
+ *
+ * <p>{@code POST /control} sets faults: {@code down} ({@code none}, {@code refused}, {@code
+ * unanswered}), {@code slowMillis}, {@code loseAnswers} (number of writes, -1 for always), {@code
+ * readsPerSecond} and {@code writesPerSecond} (0 for no limit), and the actions {@code
+ * expireLeases}, {@code dropWatches} and {@code resetCounters}. {@code GET /control} reports them
+ * and the number of calls by kind. While connections are refused, control is reached only through
+ * the control port.
+ */
+@SuppressWarnings(
+    "FutureReturnValueIgnored") // The event loop logs what a close or shutdown throws.
+public final class PlatformStandIn implements AutoCloseable {
+  private static final ObjectMapper JSON = new ObjectMapper();
+
+  /** Base64 makes a value of 1 MB a third longer. */
+  private static final int MAX_REQUEST_BYTES = 2 * PlatformStore.MAX_VALUE_BYTES;
+
+  private static final long STOP_QUIET_MILLIS = 100;
+  private static final long STOP_LIMIT_MILLIS = 2_000;
+
+  private final EventLoopGroup group =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final ChannelGroup connections = new DefaultChannelGroup(group.next());
+  private final PlatformHandler handler = new PlatformHandler(this::switchListener);
+  private final InetSocketAddress address;
+  private final Channel controlListener;
+  private Channel listener;
+
+  private PlatformStandIn(InetSocketAddress wanted, InetSocketAddress control) {
+    try {
+      listener = bind(wanted, connections).syncUninterruptibly().getNow();
+      controlListener =
+          control == null
+              ? null
+              : bind(control, new DefaultChannelGroup(group.next())).syncUninterruptibly().getNow();
+    } catch (RuntimeException e) {
+      group.shutdownGracefully(0, STOP_LIMIT_MILLIS, TimeUnit.MILLISECONDS);
+      throw e;
+    }
+    address = (InetSocketAddress) listener.localAddress();
+  }
+
+  /** Starts a stand-in whose faults are set on the same port or by {@link #control}. */
+  public static PlatformStandIn start(InetSocketAddress address) {
+    return new PlatformStandIn(address, null);
+  }
+
+  /** Starts a stand-in with a second port that is reachable while connections are refused. */
+  public static PlatformStandIn start(InetSocketAddress address, InetSocketAddress control) {
+    return new PlatformStandIn(address, control);
+  }
+
+  /** Address on which the stand-in listens, with the chosen port. */
+  public InetSocketAddress address() {
+    return address;
+  }
+
+  /** Port of the control listener; 0 when there is none. */
+  public int controlPort() {
+    return controlListener == null
+        ? 0
+        : ((InetSocketAddress) controlListener.localAddress()).getPort();
+  }
+
+  /** Does what {@code POST /control} does and returns its answer. */
+  public JsonNode control(String document) {
+    CompletableFuture<JsonNode> report = new CompletableFuture<>();
+    JsonNode faults = parse(document);
+    group.execute(() -> handler.apply(faults, () -> report.complete(handler.report())));
+    return report.join();
+  }
+
+  /** Number of calls of one kind since the start or the last reset of the counters. */
+  public long calls(String kind) {
+    return control("{}").path("calls").path(kind).asLong();
+  }
+
+  /** Stops listening, answers pending watches and waits for answers that are being written. */
+  @Override
+  public void close() {
+    // Netty closes every connection as soon as the group shuts down, so answers are written before.
+    group
+        .submit(
+            () -> {
+              listener.close();
+              handler.finishWatches();
+            })
+        .awaitUninterruptibly(STOP_LIMIT_MILLIS);
+    connections.newCloseFuture().awaitUninterruptibly(STOP_QUIET_MILLIS);
+    group
+        .shutdownGracefully(0, STOP_LIMIT_MILLIS, TimeUnit.MILLISECONDS)
+        .awaitUninterruptibly(2 * STOP_LIMIT_MILLIS);
+  }
+
+  private static JsonNode parse(String document) {
+    try {
+      return JSON.readTree(document);
+    } catch (JsonProcessingException e) {
+      throw new IllegalArgumentException("malformed control document", e);
+    }
+  }
+
+  private Future<Channel> bind(InetSocketAddress wanted, ChannelGroup members) {
+    ServerBootstrap bootstrap = new ServerBootstrap().group(group);
+    bootstrap.channel(NioServerSocketChannel.class);
+    bootstrap.childHandler(
+        new ChannelInitializer<Channel>() {
+          @Override
+          protected void initChannel(Channel channel) {
+            members.add(channel);
+            channel.pipeline().addLast(new HttpServerCodec());
+            channel.pipeline().addLast(new HttpObjectAggregator(MAX_REQUEST_BYTES));
+            channel.pipeline().addLast(handler);
+          }
+        });
+    Promise<Channel> bound = group.next().newPromise();
+    ChannelFuture future = bootstrap.bind(wanted);
+    future.addListener(
+        done -> {
+          if (done.isSuccess()) {
+            bound.setSuccess(future.channel());
+          } else {
+            bound.setFailure(done.cause());
+          }
+        });
+    return bound;
+  }
+
+  private void switchListener(Faults.Down former, Faults.Down present, Runnable then) {
+    if (former == present) {
+      then.run();
+    } else if (present == Faults.Down.REFUSED) {
+      listener
+          .close()
+          .addListener(
+              closed -> {
+                then.run();
+                connections.close();
+              });
+    } else if (former == Faults.Down.REFUSED) {
+      bind(address, connections)
+          .addListener(
+              (Future<Channel> bound) -> {
+                listener = bound.getNow();
+                then.run();
+              });
+    } else {
+      then.run();
+    }
+  }
+
+  /** Command line. */
+  private static final class Options {
+    @Option(name = "--address", usage = "address to listen on")
+    private String address = "127.0.0.1";
+
+    @Option(name = "--port", usage = "port to listen on; 0 chooses a free one")
+    private int port;
+
+    @Option(name = "--control-port", usage = "second port for /control; 0 chooses, -1 opens none")
+    private int controlPort = -1;
+
+    @Option(name = "--port-file", usage = "file that receives the port, then the control port")
+    private Path portFile;
+
+    private void writePorts(PlatformStandIn standIn) throws IOException {
+      if (portFile == null) {
+        return;
+      }
+      String ports = standIn.address().getPort() + "\n";
+      if (standIn.controlPort() != 0) {
+        ports += standIn.controlPort() + "\n";
+      }
+      // A reader of the file never sees it half written.
+      Path draft = portFile.resolveSibling(portFile.getFileName() + ".tmp");
+      Files.writeString(draft, ports);
+      Files.move(draft, portFile, StandardCopyOption.ATOMIC_MOVE);
+    }
+  }
+
+  /** Runs a stand-in until SIGTERM. */
+  public static void main(String[] args) throws IOException {
+    Options options = new Options();
+    CmdLineParser parser = new CmdLineParser(options);
+    try {
+      parser.parseArgument(args);
+    } catch (CmdLineException e) {
+      System.err.println(e.getMessage());
+      parser.printUsage(System.err);
+      System.exit(2);
+    }
+    InetSocketAddress control =
+        options.controlPort < 0
+            ? null
+            : new InetSocketAddress(options.address, options.controlPort);
+    PlatformStandIn standIn = start(new InetSocketAddress(options.address, options.port), control);
+    Runtime.getRuntime().addShutdownHook(new Thread(standIn::close, "stop"));
+    options.writePorts(standIn);
+  }
+}
