Add the HTTP client of the platform

Cause: approval, readers and audit need the platform through PlatformClient. Change: Netty client with a pool for each endpoint, deadlines, jittered back-off and three call budgets (background, interactive, part fetches). A failure before the request was written is unavailable; after that a write is unknown.

--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/process/platform/BudgetedPlatformClient.java
@@ -0,0 +1,110 @@
+package io.foxtaildoor.process.platform;
+
+import io.foxtaildoor.common.ErrorKind;
+import io.foxtaildoor.common.FoxtaildoorException;
+import io.netty.handler.codec.http.HttpMethod;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+
+/** The platform's calls under one budget; closing it has no effect on the shared connections. */
+final class BudgetedPlatformClient implements PlatformClient {
+  private static final byte[] NO_BODY = new byte[0];
+  private static final long NO_WAIT = 0;
+
+  private final PlatformCalls calls;
+  private final CallBudget budget;
+  private final boolean backsOff;
+
+  BudgetedPlatformClient(PlatformCalls calls, CallRate rate, boolean backsOff) {
+    this.calls = calls;
+    this.budget = new CallBudget(rate);
+    this.backsOff = backsOff;
+  }
+
+  @Override
+  public CompletableFuture<PlatformResult<PlatformEntry>> get(String key) {
+    return entryCall(HttpMethod.GET, keyPath(key), NO_BODY, NO_WAIT, key);
+  }
+
+  @Override
+  public CompletableFuture<PlatformResult<PlatformEntry>> compareAndSet(
+      String key, long expectedRevision, byte[] value) {
+    if (value.length > MAX_VALUE_BYTES) {
+      throw new FoxtaildoorException(
+          ErrorKind.INVALID_INPUT, "the value of " + key + " is larger than the platform takes");
+    }
+    String target = keyPath(key) + "?expected=" + expectedRevision;
+    return entryCall(HttpMethod.PUT, target, PlatformAnswers.value(value), NO_WAIT, key);
+  }
+
+  @Override
+  public CompletableFuture<PlatformResult<PlatformEntry>> compareAndDelete(
+      String key, long expectedRevision) {
+    String target = keyPath(key) + "?expected=" + expectedRevision;
+    return entryCall(HttpMethod.DELETE, target, NO_BODY, NO_WAIT, key);
+  }
+
+  @Override
+  public CompletableFuture<PlatformResult<PlatformEntry>> watch(
+      String key, long knownRevision, Duration maxWait) {
+    String query = "?after=" + knownRevision + "&waitMillis=" + maxWait.toMillis();
+    return entryCall(HttpMethod.GET, keyPath(key) + query, NO_BODY, maxWait.toNanos(), key);
+  }
+
+  @Override
+  public CompletableFuture<PlatformResult<PlatformLease>> acquireLease(
+      String key, String holder, Duration timeToLive) {
+    return leaseCall("acquire", new PlatformLease(key, holder, 0, timeToLive));
+  }
+
+  @Override
+  public CompletableFuture<PlatformResult<PlatformLease>> renewLease(PlatformLease lease) {
+    return leaseCall("renew", lease);
+  }
+
+  @Override
+  public CompletableFuture<PlatformResult<PlatformLease>> releaseLease(PlatformLease lease) {
+    return leaseCall("release", lease);
+  }
+
+  @Override
+  public void close() {}
+
+  private CompletableFuture<PlatformResult<PlatformEntry>> entryCall(
+      HttpMethod method, String target, byte[] body, long waitNanos, String key) {
+    boolean write = !method.equals(HttpMethod.GET);
+    PlatformRequest request = new PlatformRequest(method, target, body, write, waitNanos);
+    return run(request, key, document -> PlatformAnswers.entry(document, key));
+  }
+
+  private CompletableFuture<PlatformResult<PlatformLease>> leaseCall(
+      String verb, PlatformLease lease) {
+    String key = lease.key();
+    PlatformRequest request =
+        new PlatformRequest(
+            HttpMethod.POST,
+            "/lease/" + encode(key) + "/" + verb,
+            PlatformAnswers.lease(lease),
+            true,
+            NO_WAIT);
+    return run(request, key, document -> PlatformAnswers.lease(document, key, lease.holder()));
+  }
+
+  private <T> CompletableFuture<PlatformResult<T>> run(
+      PlatformRequest request, String key, PlatformAnswers.Reader<T> reader) {
+    return calls
+        .run(request, budget, backsOff)
+        .thenApply(attempt -> PlatformAnswers.result(attempt, request, key, reader));
+  }
+
+  private static String keyPath(String key) {
+    return "/kv/" + encode(key);
+  }
+
+  private static String encode(String key) {
+    String encoded = URLEncoder.encode(key, StandardCharsets.UTF_8);
+    return encoded.replace("+", "%20").replace("%2F", "/");
+  }
+}
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/process/platform/Endpoint.java
@@ -0,0 +1,126 @@
+package io.foxtaildoor.process.platform;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.pool.AbstractChannelPoolHandler;
+import io.netty.channel.pool.ChannelHealthChecker;
+import io.netty.channel.pool.FixedChannelPool;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.Future;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.LongSupplier;
+
+/** One address of the platform with its pool of keep-alive connections. */
+@SuppressWarnings("FutureReturnValueIgnored") // The pool reports failures on the next acquire.
+final class Endpoint implements AutoCloseable {
+  /** Base64 makes a value of 1 MB a third longer. */
+  private static final int MAX_ANSWER_BYTES = 2 * PlatformClient.MAX_VALUE_BYTES;
+
+  private static final int MAX_WAITING_CALLS = 256;
+
+  private final URI uri;
+  private final FixedChannelPool pool;
+  private final LongSupplier clock;
+
+  Endpoint(URI uri, PlatformSettings settings, EventLoopGroup group, LongSupplier clock) {
+    this.uri = uri;
+    this.clock = clock;
+    int connectMillis = (int) settings.connectTimeout().toMillis();
+    Bootstrap bootstrap =
+        new Bootstrap()
+            .group(group)
+            .channel(NioSocketChannel.class)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectMillis)
+            .remoteAddress(InetSocketAddress.createUnresolved(uri.getHost(), uri.getPort()));
+    pool =
+        new FixedChannelPool(
+            bootstrap,
+            new Pipeline(),
+            ChannelHealthChecker.ACTIVE,
+            FixedChannelPool.AcquireTimeoutAction.FAIL,
+            connectMillis,
+            settings.connectionsPerEndpoint(),
+            MAX_WAITING_CALLS);
+  }
+
+  /** Runs one exchange; the future never completes exceptionally. */
+  CompletableFuture<Attempt> call(PlatformRequest request, long deadlineNanos) {
+    CompletableFuture<Attempt> result = new CompletableFuture<>();
+    pool.acquire()
+        .addListener(
+            (Future<Channel> acquired) -> {
+              if (acquired.isSuccess()) {
+                Channel channel = acquired.getNow();
+                channel.eventLoop().execute(() -> send(channel, request, deadlineNanos, result));
+              } else {
+                result.complete(new Attempt.NotSent(uri + ": " + acquired.cause().getMessage()));
+              }
+            });
+    return result;
+  }
+
+  private void send(
+      Channel channel,
+      PlatformRequest request,
+      long deadlineNanos,
+      CompletableFuture<Attempt> result) {
+    long remaining = deadlineNanos - clock.getAsLong();
+    if (!channel.isActive() || remaining <= 0) {
+      pool.release(channel);
+      result.complete(new Attempt.NotSent(uri + ": no usable connection in time"));
+      return;
+    }
+    channel
+        .pipeline()
+        .get(ExchangeHandler.class)
+        .begin(
+            message(request),
+            remaining,
+            attempt -> {
+              pool.release(channel);
+              result.complete(attempt);
+            });
+  }
+
+  private FullHttpRequest message(PlatformRequest request) {
+    FullHttpRequest message =
+        new DefaultFullHttpRequest(
+            HttpVersion.HTTP_1_1,
+            request.method(),
+            request.target(),
+            Unpooled.wrappedBuffer(request.body()));
+    message.headers().set(HttpHeaderNames.HOST, uri.getHost() + ":" + uri.getPort());
+    if (request.body().length > 0) {
+      message.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
+    }
+    HttpUtil.setContentLength(message, request.body().length);
+    return message;
+  }
+
+  @Override
+  public void close() {
+    pool.closeAsync();
+  }
+
+  private static final class Pipeline extends AbstractChannelPoolHandler {
+    @Override
+    public void channelCreated(Channel channel) {
+      channel.pipeline().addLast(new HttpClientCodec());
+      channel.pipeline().addLast(new HttpObjectAggregator(MAX_ANSWER_BYTES));
+      channel.pipeline().addLast(new ExchangeHandler());
+    }
+  }
+}
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/process/platform/HttpPlatformClient.java
@@ -0,0 +1,88 @@
+package io.foxtaildoor.process.platform;
+
+import io.netty.channel.EventLoopGroup;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.LongSupplier;
+import java.util.random.RandomGenerator;
+
+/**
+ * Client of the platform's HTTP/JSON interface.
+ *
+ * <p>Its own methods run under the budget of background calls. The views {@link #interactive()} and
+ * {@link #partFetches()} have budgets of their own and share the connections.
+ */
+public final class HttpPlatformClient implements PlatformClient {
+  private final PlatformCalls calls;
+  private final PlatformClient background;
+  private final PlatformClient interactive;
+  private final PlatformClient partFetches;
+
+  /**
+   * Creates a client.
+   *
+   * @param clock monotonic nanoseconds
+   */
+  public HttpPlatformClient(
+      PlatformSettings settings, EventLoopGroup group, LongSupplier clock, RandomGenerator random) {
+    calls = new PlatformCalls(settings, group, clock, random);
+    background = new BudgetedPlatformClient(calls, settings.background(), true);
+    interactive = new BudgetedPlatformClient(calls, settings.interactive(), false);
+    partFetches = new BudgetedPlatformClient(calls, settings.partFetches(), true);
+  }
+
+  /** A view for operators' calls; background calls do not use up its budget. */
+  public PlatformClient interactive() {
+    return interactive;
+  }
+
+  /** A view for fetching parts, only for the holder of a reader lease. */
+  public PlatformClient partFetches() {
+    return partFetches;
+  }
+
+  @Override
+  public CompletableFuture<PlatformResult<PlatformEntry>> get(String key) {
+    return background.get(key);
+  }
+
+  @Override
+  public CompletableFuture<PlatformResult<PlatformEntry>> compareAndSet(
+      String key, long expectedRevision, byte[] value) {
+    return background.compareAndSet(key, expectedRevision, value);
+  }
+
+  @Override
+  public CompletableFuture<PlatformResult<PlatformEntry>> compareAndDelete(
+      String key, long expectedRevision) {
+    return background.compareAndDelete(key, expectedRevision);
+  }
+
+  @Override
+  public CompletableFuture<PlatformResult<PlatformEntry>> watch(
+      String key, long knownRevision, Duration maxWait) {
+    return background.watch(key, knownRevision, maxWait);
+  }
+
+  @Override
+  public CompletableFuture<PlatformResult<PlatformLease>> acquireLease(
+      String key, String holder, Duration timeToLive) {
+    return background.acquireLease(key, holder, timeToLive);
+  }
+
+  @Override
+  public CompletableFuture<PlatformResult<PlatformLease>> renewLease(PlatformLease lease) {
+    return background.renewLease(lease);
+  }
+
+  @Override
+  public CompletableFuture<PlatformResult<PlatformLease>> releaseLease(PlatformLease lease) {
+    return background.releaseLease(lease);
+  }
+
+  /** Refuses later calls; pending ones end by their deadlines, and their connections are closed. */
+  @Override
+  public void close() {
+    calls.close();
+  }
+}
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/process/platform/PlatformAnswers.java
@@ -0,0 +1,105 @@
+package io.foxtaildoor.process.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+
+/** Maps the platform's HTTP/JSON answers to typed results. */
+final class PlatformAnswers {
+  private static final ObjectMapper JSON = new ObjectMapper();
+  private static final int OK = 200;
+  private static final int CLIENT_ERROR = 400;
+  private static final int CONFLICT = 409;
+  private static final int SERVER_ERROR = 500;
+
+  private PlatformAnswers() {}
+
+  /** Reads the document of a successful answer. */
+  @FunctionalInterface
+  interface Reader<T> {
+    T read(JsonNode document) throws IOException;
+  }
+
+  static byte[] value(byte[] value) {
+    return bytes(JSON.createObjectNode().put("value", value));
+  }
+
+  static byte[] lease(PlatformLease lease) {
+    ObjectNode node = JSON.createObjectNode().put("holder", lease.holder());
+    return bytes(node.put("ttlMillis", lease.timeToLive().toMillis()).put("token", lease.token()));
+  }
+
+  private static byte[] bytes(ObjectNode node) {
+    return node.toString().getBytes(StandardCharsets.UTF_8);
+  }
+
+  /** Classifies how an exchange ended; an answer that cannot be read tells nothing of a write. */
+  static <T> PlatformResult<T> result(
+      Attempt attempt, PlatformRequest request, String key, Reader<T> reader) {
+    if (attempt instanceof Attempt.NotSent notSent) {
+      return new PlatformResult.Unavailable<>(notSent.reason());
+    }
+    if (attempt instanceof Attempt.Broken broken) {
+      return unknown(request, broken.reason());
+    }
+    Attempt.Answered answered = (Attempt.Answered) attempt;
+    try {
+      return answer(answered, request, key, reader);
+    } catch (IOException e) {
+      return unknown(request, "malformed answer: " + e.getMessage());
+    }
+  }
+
+  private static <T> PlatformResult<T> answer(
+      Attempt.Answered answered, PlatformRequest request, String key, Reader<T> reader)
+      throws IOException {
+    int status = answered.status();
+    if (status == OK) {
+      return new PlatformResult.Done<>(reader.read(JSON.readTree(answered.body())));
+    }
+    if (status == CONFLICT) {
+      return new PlatformResult.Conflict<>(entry(JSON.readTree(answered.body()), key));
+    }
+    String reason = "the platform answered with status " + status;
+    if (status >= CLIENT_ERROR && status < SERVER_ERROR) {
+      return new PlatformResult.Unavailable<>(reason);
+    }
+    return unknown(request, reason);
+  }
+
+  private static <T> PlatformResult<T> unknown(PlatformRequest request, String reason) {
+    return request.write()
+        ? new PlatformResult.OutcomeUnknown<>(reason)
+        : new PlatformResult.Unavailable<>(reason);
+  }
+
+  static PlatformEntry entry(JsonNode document, String key) throws IOException {
+    checkKey(document, key);
+    JsonNode revision = document.path("revision");
+    JsonNode value = document.path("value");
+    if (!revision.isIntegralNumber() || !value.isTextual()) {
+      throw new IOException("revision or value is missing");
+    }
+    return new PlatformEntry(key, revision.asLong(), value.binaryValue());
+  }
+
+  static PlatformLease lease(JsonNode document, String key, String holder) throws IOException {
+    checkKey(document, key);
+    JsonNode token = document.path("token");
+    JsonNode millis = document.path("ttlMillis");
+    boolean complete = token.isIntegralNumber() && millis.isIntegralNumber();
+    if (!complete || !document.path("holder").asText().equals(holder)) {
+      throw new IOException("the answer is not for lease holder " + holder);
+    }
+    return new PlatformLease(key, holder, token.asLong(), Duration.ofMillis(millis.asLong()));
+  }
+
+  private static void checkKey(JsonNode document, String key) throws IOException {
+    if (document == null || !document.path("key").asText().equals(key)) {
+      throw new IOException("the answer is not for key " + key);
+    }
+  }
+}
