--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/process/platform/ContactDirectory.java
@@ -0,0 +1,107 @@
+package io.foxtaildoor.process.platform;
+
+import io.foxtaildoor.common.DataCentreId;
+import io.netty.util.NetUtil;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * Addresses for joining under {@code contacts/<data centre>}: one {@code address:port} a line, the
+ * newest first.
+ */
+public final class ContactDirectory {
+  private static final int MAX_PORT = 0xffff;
+
+  private final PlatformClient client;
+  private final int limit;
+
+  /** Creates a directory that keeps at most a number of addresses for each data centre. */
+  public ContactDirectory(PlatformClient client, int limit) {
+    this.client = client;
+    this.limit = limit;
+  }
+
+  /** Reads the addresses of a data centre; empty when the platform does not answer. */
+  public CompletableFuture<List<InetSocketAddress>> read(DataCentreId dataCentre) {
+    return client
+        .get(key(dataCentre))
+        .thenApply(
+            result ->
+                result instanceof PlatformResult.Done<PlatformEntry> done
+                    ? parse(done.value().value())
+                    : List.of());
+  }
+
+  /**
+   * Puts an address first unless it is listed already.
+   *
+   * @return whether the address is listed now; false when the platform failed or another reader
+   *     wrote at the same time
+   */
+  public CompletableFuture<Boolean> publish(DataCentreId dataCentre, InetSocketAddress address) {
+    return client
+        .get(key(dataCentre))
+        .thenCompose(
+            result -> {
+              if (result instanceof PlatformResult.Done<PlatformEntry> done) {
+                return add(done.value(), address);
+              }
+              return CompletableFuture.completedFuture(false);
+            });
+  }
+
+  private CompletableFuture<Boolean> add(PlatformEntry entry, InetSocketAddress address) {
+    List<InetSocketAddress> present = parse(entry.value());
+    if (present.contains(address)) {
+      return CompletableFuture.completedFuture(true);
+    }
+    List<InetSocketAddress> next = new ArrayList<>();
+    next.add(address);
+    present.stream().limit(limit - 1L).forEach(next::add);
+    return client
+        .compareAndSet(entry.key(), entry.revision(), format(next))
+        .thenApply(result -> result instanceof PlatformResult.Done);
+  }
+
+  private static byte[] format(List<InetSocketAddress> addresses) {
+    StringBuilder text = new StringBuilder();
+    for (InetSocketAddress address : addresses) {
+      text.append(address.getAddress().getHostAddress())
+          .append(':')
+          .append(address.getPort())
+          .append('\n');
+    }
+    return text.toString().getBytes(StandardCharsets.UTF_8);
+  }
+
+  /** Skips malformed lines: a newer release may add to them. */
+  private static List<InetSocketAddress> parse(byte[] value) {
+    return new String(value, StandardCharsets.UTF_8)
+        .lines()
+        .map(ContactDirectory::parseLine)
+        .flatMap(Optional::stream)
+        .toList();
+  }
+
+  private static Optional<InetSocketAddress> parseLine(String line) {
+    int colon = line.lastIndexOf(':');
+    if (colon < 0 || !line.substring(colon + 1).matches("[0-9]{1,5}")) {
+      return Optional.empty();
+    }
+    int port = Integer.parseInt(line.substring(colon + 1));
+    InetAddress address = NetUtil.createInetAddressFromIpAddressString(line.substring(0, colon));
+    if (address == null || port > MAX_PORT) {
+      return Optional.empty();
+    }
+    return Optional.of(new InetSocketAddress(address, port));
+  }
+
+  private static String key(DataCentreId dataCentre) {
+    return "contacts/" + dataCentre;
+  }
+}
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/process/platform/ReaderLeaseKeeper.java
@@ -0,0 +1,112 @@
+package io.foxtaildoor.process.platform;
+
+import io.foxtaildoor.common.NodeId;
+import io.foxtaildoor.common.TaskScheduler;
+import java.util.Collection;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+
+/** Carries out the steps of a {@link ReaderElection} on the platform. */
+@SuppressWarnings("FutureReturnValueIgnored") // No future of the client completes exceptionally.
+public final class ReaderLeaseKeeper implements AutoCloseable {
+  private final ReaderElection election;
+  private final PlatformClient client;
+  private final Supplier<Collection<NodeId>> alive;
+  private final TaskScheduler scheduler;
+  private final LongSupplier clock;
+  private final Object lock = new Object();
+  private boolean closed;
+
+  /**
+   * Creates a driver.
+   *
+   * @param alive nodes of the data centre that are known to be alive
+   * @param clock monotonic nanoseconds
+   */
+  public ReaderLeaseKeeper(
+      ReaderElection election,
+      PlatformClient client,
+      Supplier<Collection<NodeId>> alive,
+      TaskScheduler scheduler,
+      LongSupplier clock) {
+    this.election = election;
+    this.client = client;
+    this.alive = alive;
+    this.scheduler = scheduler;
+    this.clock = clock;
+  }
+
+  /** Starts taking steps. */
+  public void start() {
+    scheduler.schedule(0, this::step);
+  }
+
+  /** Whether this node may act as a reader now. */
+  public boolean isReader() {
+    synchronized (lock) {
+      return !closed && election.isReader(clock.getAsLong());
+    }
+  }
+
+  private void step() {
+    ReaderElection.Step next;
+    synchronized (lock) {
+      if (closed) {
+        return;
+      }
+      next = election.next(clock.getAsLong(), alive.get());
+    }
+    long sent = clock.getAsLong();
+    if (next instanceof ReaderElection.Step.Wait wait) {
+      scheduler.schedule(wait.nanos(), this::step);
+    } else if (next instanceof ReaderElection.Step.Renew renew) {
+      client.renewLease(renew.lease()).thenAccept(result -> settle(result, sent));
+    } else if (next instanceof ReaderElection.Step.Acquire acquire) {
+      client
+          .acquireLease(acquire.key(), acquire.holder(), acquire.timeToLive())
+          .thenAccept(result -> settle(result, sent));
+    }
+  }
+
+  private void settle(PlatformResult<PlatformLease> result, long sentNanos) {
+    boolean giveBack = false;
+    synchronized (lock) {
+      if (result instanceof PlatformResult.Done<PlatformLease> done) {
+        election.granted(done.value(), sentNanos);
+        giveBack = closed;
+      } else if (result instanceof PlatformResult.Conflict<PlatformLease>) {
+        election.refused(clock.getAsLong());
+      } else {
+        election.failed(clock.getAsLong());
+      }
+    }
+    if (giveBack) {
+      release();
+    } else {
+      scheduler.schedule(0, this::step);
+    }
+  }
+
+  private CompletableFuture<PlatformResult<PlatformLease>> release() {
+    return election
+        .lease()
+        .map(client::releaseLease)
+        .orElseGet(
+            () ->
+                CompletableFuture.completedFuture(
+                    new PlatformResult.Unavailable<>("no lease held")));
+  }
+
+  /** Stops and gives the lease back, so that another node can take over without waiting. */
+  @Override
+  public void close() {
+    synchronized (lock) {
+      if (closed) {
+        return;
+      }
+      closed = true;
+    }
+    CompletableFuture<PlatformResult<PlatformLease>> unused = release();
+  }
+}
