--- a/product/src/main/java/io/foxtaildoor/process/platform/PublishedConfiguration.java
+++ b/product/src/main/java/io/foxtaildoor/process/platform/PublishedConfiguration.java
@@ -1,6 +1,7 @@
 package io.foxtaildoor.process.platform;
 
 import io.foxtaildoor.common.Digest;
+import io.foxtaildoor.version.manifest.ApplyResult;
 import io.foxtaildoor.version.manifest.HeldConfiguration;
 import io.foxtaildoor.version.manifest.Manifest;
 import java.util.Map;
@@ -10,6 +11,6 @@
   /** The configuration that the node holds. */
   HeldConfiguration held();
 
-  /** Offers a version with all its parts. */
-  void published(Manifest manifest, Map<Digest, byte[]> parts);
+  /** Offers a version with all its parts and gives what became of it. */
+  ApplyResult published(Manifest manifest, Map<Digest, byte[]> parts);
 }
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/version/distribution/package-info.java
@@ -0,0 +1,2 @@
+/** Spreads configuration versions between nodes: notices, pulls of differences and repair. */
+package io.foxtaildoor.version.distribution;
