--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/process/membership/DatagramCodec.java
@@ -0,0 +1,64 @@
+package io.foxtaildoor.process.membership;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.foxtaildoor.common.FoxtaildoorException;
+import io.foxtaildoor.common.NodeId;
+import io.foxtaildoor.process.membership.MembershipCounters.Counter;
+import io.foxtaildoor.protocol.Datagram;
+import java.nio.ByteBuffer;
+import java.util.Optional;
+
+/** Parses datagrams; counts and drops those that are malformed or foreign. */
+final class DatagramCodec {
+  /** Version of the UDP protocol that this process speaks. */
+  static final int PROTOCOL_VERSION = 1;
+
+  private final String cluster;
+  private final NodeId self;
+  private final MembershipCounters counters;
+
+  DatagramCodec(String cluster, NodeId self, MembershipCounters counters) {
+    this.cluster = cluster;
+    this.self = self;
+    this.counters = counters;
+  }
+
+  /** Parses a datagram; gives an empty result for one that was counted and dropped. */
+  Optional<Datagram> decode(ByteBuffer bytes) {
+    counters.increment(Counter.RECEIVED_DATAGRAMS);
+    counters.add(Counter.RECEIVED_BYTES, bytes.remaining());
+    Datagram datagram;
+    try {
+      datagram = Datagram.parseFrom(bytes);
+    } catch (InvalidProtocolBufferException e) {
+      return drop(Counter.DROPPED_MALFORMED);
+    }
+    if (datagram.getBodyCase() == Datagram.BodyCase.BODY_NOT_SET || !hasValidSender(datagram)) {
+      return drop(Counter.DROPPED_MALFORMED);
+    }
+    if (!cluster.equals(datagram.getCluster())) {
+      return drop(Counter.DROPPED_FOREIGN);
+    }
+    if (datagram.getProtocolVersion() != PROTOCOL_VERSION) {
+      return drop(Counter.DROPPED_PROTOCOL);
+    }
+    return Optional.of(datagram);
+  }
+
+  /** The local node never sends to itself, so its own id comes from an echo or a duplicate id. */
+  private boolean hasValidSender(Datagram datagram) {
+    if (datagram.getSenderIncarnation() < 0) {
+      return false;
+    }
+    try {
+      return !new NodeId(datagram.getSender()).equals(self);
+    } catch (FoxtaildoorException e) {
+      return false;
+    }
+  }
+
+  private Optional<Datagram> drop(Counter reason) {
+    counters.increment(reason);
+    return Optional.empty();
+  }
+}
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/process/membership/EndedNodes.java
@@ -0,0 +1,87 @@
+package io.foxtaildoor.process.membership;
+
+import io.foxtaildoor.common.NodeId;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.random.RandomGenerator;
+
+/** Remembers dead nodes and those that left, and chooses dead ones to be probed again. */
+final class EndedNodes {
+  private record Ending(NodeId id, long endedAt) {}
+
+  private final long deadMemoryNanos;
+  private final long leftMemoryNanos;
+  private final MemberTable table;
+  private final RandomGenerator random;
+  private final Deque<Ending> dead = new ArrayDeque<>();
+  private final Deque<Ending> left = new ArrayDeque<>();
+  private final List<NodeId> probed = new ArrayList<>();
+
+  EndedNodes(MembershipSettings settings, MemberTable table, RandomGenerator random) {
+    this.deadMemoryNanos = settings.deadMemory().toNanos();
+    this.leftMemoryNanos = settings.leftMemory().toNanos();
+    this.table = table;
+    this.random = random;
+  }
+
+  /** Remembers a member whose record is now DEAD or LEFT. */
+  void add(Member member, long nowNanos) {
+    member.setEndedAt(nowNanos);
+    Ending ending = new Ending(member.record().id(), nowNanos);
+    if (member.record().state() == NodeState.DEAD) {
+      dead.addLast(ending);
+      probed.add(ending.id());
+    } else {
+      left.addLast(ending);
+    }
+  }
+
+  /** Returns a random dead node, or null. */
+  NodeRecord randomDead() {
+    while (!probed.isEmpty()) {
+      int place = random.nextInt(probed.size());
+      NodeRecord record = table.record(probed.get(place));
+      if (record != null && record.state() == NodeState.DEAD) {
+        return record;
+      }
+      removeAt(place);
+    }
+    return null;
+  }
+
+  /** Excludes a dead node from probes because another process has its address. */
+  void stopProbing(NodeId id) {
+    int place = probed.lastIndexOf(id);
+    if (place >= 0) {
+      removeAt(place);
+    }
+  }
+
+  /** Removes the nodes whose time of memory has passed. */
+  void forget(long nowNanos, GossipQueue queue) {
+    forget(dead, nowNanos - deadMemoryNanos, NodeState.DEAD, queue);
+    forget(left, nowNanos - leftMemoryNanos, NodeState.LEFT, queue);
+  }
+
+  private void forget(Deque<Ending> endings, long oldest, NodeState state, GossipQueue queue) {
+    Ending first;
+    while ((first = endings.peekFirst()) != null && first.endedAt() - oldest <= 0) {
+      endings.removeFirst();
+      Member member = table.find(first.id());
+      if (member != null
+          && member.record().state() == state
+          && member.endedAt() == first.endedAt()) {
+        table.remove(first.id());
+        queue.remove(first.id());
+      }
+    }
+  }
+
+  private void removeAt(int place) {
+    int last = probed.size() - 1;
+    probed.set(place, probed.get(last));
+    probed.remove(last);
+  }
+}
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/process/membership/FleetState.java
@@ -0,0 +1,386 @@
+package io.foxtaildoor.process.membership;
+
+import io.foxtaildoor.common.NodeId;
+import io.foxtaildoor.process.membership.MembershipCounters.Counter;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.random.RandomGenerator;
+import org.agrona.collections.Object2ObjectHashMap;
+
+/**
+ * Merges records into what the local node knows of the fleet. A record replaces another only when
+ * it is newer in incarnation or, at the same incarnation, in state.
+ *
+ * <p>A suspicion or death that was heard of never ends a live node at once: by gossip it starts the
+ * local suspicion period, and by state exchange it makes the local node probe the other one. After
+ * a healed partition each side holds the whole other side for dead, and taking that over would
+ * remove live nodes faster than they can refute.
+ */
+final class FleetState {
+  /** Where a record comes from. */
+  enum Source {
+    /** An update in a datagram, which is recent by nature. */
+    GOSSIP,
+    /** A state exchange, which may carry old records. */
+    EXCHANGE
+  }
+
+  /** Bounds the probes that one exchange can cause; other nodes verify the rest. */
+  private static final int MAX_VERIFICATIONS = 64;
+
+  private final LocalNode local;
+  private final MemberTable table;
+  private final UpstreamIndex index;
+  private final GossipQueue queue;
+  private final Outbox outbox;
+  private final MembershipCounters counters;
+  private final PeerSampler sampler;
+  private final EndedNodes ended;
+  private final SuspicionTimers suspicions;
+  private final Map<InetSocketAddress, NodeId> byAddress = new Object2ObjectHashMap<>();
+  private final Map<NodeId, NodeRecord> verifications = new LinkedHashMap<>();
+  private final List<NodeRecord> urgent = new ArrayList<>();
+  private int liveNodes = 1;
+
+  FleetState(
+      MembershipSettings settings,
+      LocalNode local,
+      MemberTable table,
+      UpstreamIndex index,
+      GossipQueue queue,
+      Outbox outbox,
+      MembershipCounters counters,
+      RandomGenerator random) {
+    this.local = local;
+    this.table = table;
+    this.index = index;
+    this.queue = queue;
+    this.outbox = outbox;
+    this.counters = counters;
+    this.sampler = new PeerSampler(this::liveRecord, random);
+    this.ended = new EndedNodes(settings, table, random);
+    this.suspicions = new SuspicionTimers(settings.suspicion().toNanos());
+    table.add(local.record());
+    index.update(null, local.record());
+    queue.add(local.record());
+  }
+
+  PeerSampler sampler() {
+    return sampler;
+  }
+
+  EndedNodes ended() {
+    return ended;
+  }
+
+  /** Returns the record of a live node, or null. */
+  NodeRecord liveRecord(NodeId id) {
+    NodeRecord record = table.record(id);
+    return record != null && Records.isLive(record) ? record : null;
+  }
+
+  /** Returns the record of a node that should be told that it is suspected or dead, or null. */
+  NodeRecord accusation(NodeId id) {
+    NodeRecord record = table.record(id);
+    boolean accused =
+        record != null && (record.state() == NodeState.SUSPECT || record.state() == NodeState.DEAD);
+    return accused ? record : null;
+  }
+
+  /** Returns the live node at an address, or null. */
+  NodeId liveAt(InetSocketAddress address) {
+    return byAddress.get(address);
+  }
+
+  /** Removes and returns the records whose leaving was first heard of by gossip. */
+  List<NodeRecord> takeUrgent(int limit) {
+    List<NodeRecord> head = urgent.subList(0, Math.min(limit, urgent.size()));
+    List<NodeRecord> taken = List.copyOf(head);
+    head.clear();
+    return taken;
+  }
+
+  boolean hasUrgent() {
+    return !urgent.isEmpty();
+  }
+
+  /** Removes and returns a node to be probed with what was said of it, or null. */
+  NodeRecord takeVerification() {
+    while (!verifications.isEmpty()) {
+      NodeId id = verifications.keySet().iterator().next();
+      NodeRecord told = verifications.remove(id);
+      if (liveRecord(id) != null) {
+        return told;
+      }
+    }
+    return null;
+  }
+
+  /** Takes over a change that the local node made to its own record. */
+  void localChanged() {
+    NodeRecord record = local.record();
+    Member member = table.find(record.id());
+    NodeRecord former = member.record();
+    table.replace(member, record);
+    index.update(former, record);
+    queue.add(record);
+    outbox.add(new SwimOutput.Changed(record));
+  }
+
+  /** Merges a record; true when it changed what is known. */
+  boolean merge(NodeRecord record, Source source, long nowNanos) {
+    if (record.id().equals(local.record().id())) {
+      return mergeLocal(record);
+    }
+    boolean atOwnAddress = record.address().equals(local.record().address());
+    if (atOwnAddress && Records.isLive(record)) {
+      return rejectAtOwnAddress(record, nowNanos);
+    }
+    Member member = table.find(record.id());
+    if (member == null) {
+      return mergeUnknown(record, source, nowNanos);
+    }
+    if (!Records.isNewer(record, member.record())) {
+      return false;
+    }
+    boolean negative = record.state() == NodeState.SUSPECT || record.state() == NodeState.DEAD;
+    if (negative && (Records.isLive(member.record()) || record.state() == NodeState.SUSPECT)) {
+      return mergeAccusation(member, record, source, nowNanos);
+    }
+    replace(member, record, nowNanos);
+    if (source == Source.GOSSIP) {
+      passOn(member.record());
+    }
+    return true;
+  }
+
+  /** Raises a suspicion after a failed probe of the local node. */
+  void suspect(NodeId id, long nowNanos) {
+    Member member = table.find(id);
+    if (member == null || !Records.isLive(member.record()) || member.isSuspected()) {
+      return;
+    }
+    counters.increment(Counter.SUSPICIONS);
+    accuse(member, member.record(), nowNanos);
+  }
+
+  /** Ends the suspicion of a leaving node that answered; its state leaves nothing to refute. */
+  void answered(NodeId id) {
+    Member member = table.find(id);
+    if (member != null && member.record().state() == NodeState.LEAVING) {
+      member.setSuspectDeadline(Member.NOT_SUSPECTED);
+    }
+  }
+
+  /** Marks a node dead because another id answered at its address. */
+  void replacedAtAddress(NodeId id, long nowNanos) {
+    Member member = table.find(id);
+    if (member == null) {
+      return;
+    }
+    if (Records.isLive(member.record())) {
+      markDead(member, nowNanos);
+    }
+    ended.stopProbing(id);
+  }
+
+  /** Compares the sender of a datagram with the node known at its address. */
+  void heardFrom(InetSocketAddress from, NodeId sender, long incarnation, long nowNanos) {
+    NodeId known = byAddress.get(from);
+    if (known == null || known.equals(sender)) {
+      return;
+    }
+    // A late datagram of the former process carries the lower incarnation and proves nothing.
+    NodeRecord record = table.record(known);
+    if (record != null && record.incarnation() < incarnation) {
+      replacedAtAddress(known, nowNanos);
+    }
+  }
+
+  /** Ends overdue suspicions and forgets nodes that ended long ago. */
+  void expire(long nowNanos) {
+    SuspicionTimers.Timer timer;
+    while ((timer = suspicions.poll(nowNanos)) != null) {
+      Member member = table.find(timer.id());
+      if (member != null
+          && member.suspectDeadline() == timer.deadline()
+          && Records.isLive(member.record())) {
+        markDead(member, nowNanos);
+      }
+    }
+    ended.forget(nowNanos, queue);
+  }
+
+  /** Extends the running suspicions by a time during which the process did not run. */
+  void extendSuspicions(long nanos) {
+    for (SuspicionTimers.Timer timer : suspicions.extend(nanos)) {
+      Member member = table.find(timer.id());
+      if (member != null && member.suspectDeadline() == timer.deadline() - nanos) {
+        member.setSuspectDeadline(timer.deadline());
+      }
+    }
+  }
+
+  /** Queues a record for gossip. */
+  void gossip(NodeRecord record) {
+    queue.add(record);
+  }
+
+  private boolean mergeLocal(NodeRecord heard) {
+    if (local.record().state() == NodeState.LEFT || !Records.isNewer(heard, local.record())) {
+      return false;
+    }
+    counters.increment(Counter.REFUTATIONS);
+    local.refute(heard.incarnation());
+    localChanged();
+    return true;
+  }
+
+  /** Another id at the own address belongs to a former process, whatever its incarnation. */
+  private boolean rejectAtOwnAddress(NodeRecord record, long nowNanos) {
+    Member member = table.find(record.id());
+    if (member != null && !Records.isLive(member.record())) {
+      return false;
+    }
+    if (record.incarnation() >= local.record().incarnation()) {
+      local.refute(record.incarnation());
+      localChanged();
+    }
+    NodeRecord dead = Records.withState(record, NodeState.DEAD);
+    if (member == null) {
+      addEnded(dead, nowNanos);
+    } else {
+      replace(member, dead, nowNanos);
+    }
+    queue.add(dead);
+    ended.stopProbing(record.id());
+    return true;
+  }
+
+  private boolean mergeUnknown(NodeRecord record, Source source, long nowNanos) {
+    if (!Records.isLive(record)) {
+      // Nodes that ended are remembered for a limited time. Taking them over from the memory of
+      // others would pass them on for ever.
+      if (source == Source.GOSSIP) {
+        addEnded(record, nowNanos);
+      }
+      return false;
+    }
+    boolean doubtful = record.state() == NodeState.SUSPECT;
+    NodeRecord added = doubtful ? Records.withState(record, NodeState.ALIVE) : record;
+    Member member = table.add(added);
+    started(member, null, nowNanos);
+    if (doubtful && Records.isLive(member.record())) {
+      return mergeAccusation(member, record, source, nowNanos) || source == Source.EXCHANGE;
+    }
+    if (source == Source.GOSSIP) {
+      passOn(member.record());
+    }
+    return true;
+  }
+
+  private boolean mergeAccusation(Member member, NodeRecord record, Source source, long nowNanos) {
+    if (source == Source.GOSSIP) {
+      boolean changes = !member.isSuspected() || isLaterIncarnation(record, member);
+      if (changes) {
+        accuse(member, record, nowNanos);
+      }
+      return changes;
+    }
+    boolean later = isLaterIncarnation(record, member);
+    if (later) {
+      replace(member, Records.withState(record, NodeState.ALIVE), nowNanos);
+    }
+    if (verifications.size() < MAX_VERIFICATIONS) {
+      verifications.put(record.id(), record);
+    }
+    return later;
+  }
+
+  private static boolean isLaterIncarnation(NodeRecord record, Member member) {
+    return record.incarnation() > member.record().incarnation();
+  }
+
+  private void accuse(Member member, NodeRecord accusation, long nowNanos) {
+    boolean leaving = member.record().state() == NodeState.LEAVING;
+    NodeState state = leaving ? NodeState.LEAVING : NodeState.SUSPECT;
+    NodeRecord suspect = Records.withState(accusation, state);
+    if (Records.isNewer(suspect, member.record())) {
+      replace(member, suspect, nowNanos);
+      queue.add(suspect);
+    }
+    member.setSuspectDeadline(suspicions.start(member.record().id(), nowNanos));
+  }
+
+  private void markDead(Member member, long nowNanos) {
+    NodeRecord dead = Records.withState(member.record(), NodeState.DEAD);
+    replace(member, dead, nowNanos);
+    queue.add(dead);
+  }
+
+  private void passOn(NodeRecord record) {
+    queue.add(record);
+    if (record.state() == NodeState.LEAVING) {
+      urgent.add(record);
+    }
+  }
+
+  private void addEnded(NodeRecord record, long nowNanos) {
+    Member member = table.add(record);
+    ended.add(member, nowNanos);
+    outbox.add(new SwimOutput.Changed(record));
+  }
+
+  private void replace(Member member, NodeRecord record, long nowNanos) {
+    NodeRecord former = member.record();
+    table.replace(member, record);
+    if (record.state() != NodeState.SUSPECT) {
+      member.setSuspectDeadline(Member.NOT_SUSPECTED);
+    }
+    if (Records.isLive(record)) {
+      started(member, former, nowNanos);
+      return;
+    }
+    index.update(former, record);
+    outbox.add(new SwimOutput.Changed(record));
+    byAddress.remove(former.address(), record.id());
+    ended.add(member, nowNanos);
+    if (Records.isLive(former)) {
+      outbox.fleetSize(--liveNodes);
+    }
+  }
+
+  /** Takes a live record into the indexes; the former one is null for a new node. */
+  private void started(Member member, NodeRecord former, long nowNanos) {
+    NodeRecord record = member.record();
+    index.update(former, record);
+    outbox.add(new SwimOutput.Changed(record));
+    if (former == null || !Records.isLive(former)) {
+      sampler.add(record.id());
+      outbox.fleetSize(++liveNodes);
+    }
+    NodeId other = byAddress.get(record.address());
+    if (other == null) {
+      byAddress.put(record.address(), record.id());
+    } else if (!other.equals(record.id())) {
+      resolveAddress(member, table.find(other), nowNanos);
+    }
+  }
+
+  /** Of two processes at one address, the one with the lower incarnation is the former. */
+  private void resolveAddress(Member added, Member present, long nowNanos) {
+    long difference = added.record().incarnation() - present.record().incarnation();
+    if (difference > 0) {
+      byAddress.put(added.record().address(), added.record().id());
+      replacedAtAddress(present.record().id(), nowNanos);
+    } else if (difference < 0) {
+      replacedAtAddress(added.record().id(), nowNanos);
+    } else if (verifications.size() < MAX_VERIFICATIONS) {
+      verifications.put(added.record().id(), added.record());
+      verifications.put(present.record().id(), present.record());
+    }
+  }
+}
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/process/membership/LocalNode.java
@@ -0,0 +1,102 @@
+package io.foxtaildoor.process.membership;
+
+import io.foxtaildoor.common.ServiceId;
+import java.util.Optional;
+
+/** The record of the local node, which only the node itself changes. */
+final class LocalNode {
+  private final long announcementExpiryNanos;
+  private volatile NodeRecord record;
+  private long announcementDeadline;
+
+  LocalNode(NodeRecord record, MembershipSettings settings) {
+    this.record = record;
+    this.announcementExpiryNanos = settings.announcementExpiry().toNanos();
+  }
+
+  /** Returns the present record; for any thread. */
+  NodeRecord record() {
+    return record;
+  }
+
+  boolean isStopping() {
+    return record.state() != NodeState.ALIVE;
+  }
+
+  /** Raises the incarnation above one that was heard. */
+  void refute(long heardIncarnation) {
+    change(Math.max(heardIncarnation, record.incarnation()) + 1, record.state(), record.upstream());
+  }
+
+  /** Announces or renews the upstream; true when the record changed. */
+  boolean announce(ServiceId service, int slots, long startedAtNanos, long nowNanos) {
+    announcementDeadline = nowNanos + announcementExpiryNanos;
+    Optional<UpstreamAnnouncement> present = record.upstream();
+    if (present.isPresent()
+        && present.get().service().equals(service)
+        && present.get().slots() == slots
+        && !isNewInstance(present.get(), startedAtNanos)) {
+      return false;
+    }
+    UpstreamAnnouncement changed = new UpstreamAnnouncement(service, slots, startedAtNanos);
+    change(record.incarnation() + 1, record.state(), Optional.of(changed));
+    return true;
+  }
+
+  /** Withdraws the upstream; true when the record changed. */
+  boolean withdraw() {
+    if (record.upstream().isEmpty()) {
+      return false;
+    }
+    change(record.incarnation() + 1, record.state(), Optional.empty());
+    return true;
+  }
+
+  /** Withdraws an announcement that was not renewed in time; true when the record changed. */
+  boolean expire(long nowNanos) {
+    return record.upstream().isPresent() && nowNanos - announcementDeadline >= 0 && withdraw();
+  }
+
+  /** Extends the announcement by a time during which the process did not run. */
+  void extendAnnouncement(long nanos) {
+    announcementDeadline += nanos;
+  }
+
+  /** Moves to LEAVING; true when the record changed. */
+  boolean leave() {
+    return end(NodeState.LEAVING);
+  }
+
+  /** Moves to LEFT; true when the record changed. */
+  boolean left() {
+    return end(NodeState.LEFT);
+  }
+
+  private boolean end(NodeState state) {
+    if (record.state().compareTo(state) >= 0) {
+      return false;
+    }
+    change(record.incarnation() + 1, state, record.upstream());
+    return true;
+  }
+
+  /**
+   * Whether an announcement is of another instance than the present one. Each renewal gives the age
+   * anew, so the start times of one instance differ by the delay of the renewals.
+   */
+  private boolean isNewInstance(UpstreamAnnouncement present, long startedAtNanos) {
+    return startedAtNanos - present.startedAtNanos() > announcementExpiryNanos;
+  }
+
+  private void change(long incarnation, NodeState state, Optional<UpstreamAnnouncement> upstream) {
+    record =
+        new NodeRecord(
+            record.id(),
+            record.address(),
+            record.region(),
+            record.dataCentre(),
+            incarnation,
+            state,
+            upstream);
+  }
+}
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/process/membership/MemberTable.java
@@ -0,0 +1,119 @@
+package io.foxtaildoor.process.membership;
+
+import io.foxtaildoor.common.NodeId;
+import java.util.ArrayList;
+import java.util.List;
+import org.agrona.collections.Object2ObjectHashMap;
+
+/**
+ * The known nodes, in 256 shards by the hash of the node id, each under its own lock. One thread
+ * writes, any thread reads. A shard is also the bucket of the state digest and keeps its hash up to
+ * date with each change.
+ */
+final class MemberTable {
+  /** Number of shards and of buckets in a state digest. */
+  static final int BUCKETS = 256;
+
+  private static final int INITIAL_CAPACITY = 8;
+  private static final float LOAD_FACTOR = 0.7f;
+
+  /** One shard; its monitor guards its contents. */
+  private static final class Shard {
+    private final Object2ObjectHashMap<NodeId, Member> members =
+        new Object2ObjectHashMap<>(INITIAL_CAPACITY, LOAD_FACTOR, false);
+    private long hash;
+  }
+
+  private final Shard[] shards = new Shard[BUCKETS];
+
+  MemberTable() {
+    for (int i = 0; i < BUCKETS; i++) {
+      shards[i] = new Shard();
+    }
+  }
+
+  /** Bucket of a node, equal on all nodes. */
+  static int bucketOf(NodeId id) {
+    return (int) (Records.hash(id) >>> 56);
+  }
+
+  /** Returns the member or null; for the writing thread only. */
+  Member find(NodeId id) {
+    Shard shard = shards[bucketOf(id)];
+    synchronized (shard) {
+      return shard.members.get(id);
+    }
+  }
+
+  /** Returns the record of a node or null. */
+  NodeRecord record(NodeId id) {
+    Shard shard = shards[bucketOf(id)];
+    synchronized (shard) {
+      Member member = shard.members.get(id);
+      return member == null ? null : member.record();
+    }
+  }
+
+  /** Adds a node that is not known yet. */
+  Member add(NodeRecord record) {
+    Member member = new Member(record);
+    Shard shard = shards[bucketOf(record.id())];
+    synchronized (shard) {
+      shard.members.put(record.id(), member);
+      shard.hash += Records.digestHash(record);
+    }
+    return member;
+  }
+
+  /** Replaces the record of a member. */
+  void replace(Member member, NodeRecord record) {
+    Shard shard = shards[bucketOf(record.id())];
+    synchronized (shard) {
+      shard.hash += Records.digestHash(record) - Records.digestHash(member.record());
+      member.setRecord(record);
+    }
+  }
+
+  /** Forgets a node. */
+  void remove(NodeId id) {
+    Shard shard = shards[bucketOf(id)];
+    synchronized (shard) {
+      Member member = shard.members.remove(id);
+      if (member != null) {
+        shard.hash -= Records.digestHash(member.record());
+      }
+    }
+  }
+
+  /** Returns the hash of each bucket. */
+  long[] hashes() {
+    long[] hashes = new long[BUCKETS];
+    for (int i = 0; i < BUCKETS; i++) {
+      synchronized (shards[i]) {
+        hashes[i] = shards[i].hash;
+      }
+    }
+    return hashes;
+  }
+
+  /** Returns the records of one bucket. */
+  List<NodeRecord> bucket(int index) {
+    Shard shard = shards[index];
+    synchronized (shard) {
+      List<NodeRecord> records = new ArrayList<>(shard.members.size());
+      for (Member member : shard.members.values()) {
+        records.add(member.record());
+      }
+      return records;
+    }
+  }
+
+  /** Returns all records. */
+  List<NodeRecord> records() {
+    List<NodeRecord> all = new ArrayList<>();
+    for (int i = 0; i < BUCKETS; i++) {
+      all.addAll(bucket(i));
+    }
+    return all;
+  }
+}
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/process/membership/Membership.java
@@ -0,0 +1,342 @@
+package io.foxtaildoor.process.membership;
+
+import io.foxtaildoor.common.ErrorKind;
+import io.foxtaildoor.common.FoxtaildoorException;
+import io.foxtaildoor.common.NodeId;
+import io.foxtaildoor.common.ServiceId;
+import io.foxtaildoor.connection.link.ControlCaller;
+import io.foxtaildoor.connection.link.ControlHandler;
+import io.foxtaildoor.process.membership.MembershipCounters.Counter;
+import io.foxtaildoor.protocol.Frame;
+import io.foxtaildoor.version.manifest.VersionStamp;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import java.util.random.RandomGenerator;
+
+/**
+ * Membership of the fleet over UDP. The protocol runs on one event loop; all methods may be called
+ * by any thread and none blocks except {@link #start()}.
+ */
+public final class Membership implements FleetView, ControlHandler, AutoCloseable {
+  private static final Logger LOG = System.getLogger(Membership.class.getName());
+
+  /** Takes the replies to a status query of 12,000 nodes without loss. */
+  private static final int RECEIVE_BUFFER_BYTES = 1 << 20;
+
+  private final NodeRecord initial;
+  private final EventLoop loop;
+  private final LongSupplier nanoClock;
+  private final ControlCaller caller;
+  private final MembershipCallbacks callbacks;
+  private final MembershipCounters counters = new MembershipCounters();
+  private final DatagramCodec codec;
+  private final SwimCore core;
+  private final List<Consumer<NodeRecord>> listeners = new CopyOnWriteArrayList<>();
+  private final CompletableFuture<Void> joined = new CompletableFuture<>();
+  private final CompletableFuture<Void> leavingPushed = new CompletableFuture<>();
+  private final CompletableFuture<Void> closed = new CompletableFuture<>();
+  private final Map<Long, CompletableFuture<List<StatusAnswer>>> queries = new HashMap<>();
+  private volatile Channel channel;
+  private ScheduledFuture<?> ticks;
+
+  /**
+   * Creates a membership that is not started.
+   *
+   * @param self record of the local node: ALIVE, with the address of its peer listener and an
+   *     incarnation above that of former processes at this address, such as the start time in
+   *     seconds since the epoch
+   * @param group gives the event loop of the protocol
+   * @param nanoClock monotonic time in nanoseconds
+   */
+  public Membership(
+      MembershipSettings settings,
+      NodeRecord self,
+      EventLoopGroup group,
+      LongSupplier nanoClock,
+      RandomGenerator random,
+      ControlCaller caller,
+      MembershipCallbacks callbacks) {
+    this.initial = self;
+    this.loop = group.next();
+    this.nanoClock = nanoClock;
+    this.caller = caller;
+    this.callbacks = callbacks;
+    this.codec = new DatagramCodec(settings.cluster(), self.id(), counters);
+    this.core = new SwimCore(settings, self, callbacks, counters, random);
+  }
+
+  /** Sets the addresses through which the node joins and finds partitioned nodes again. */
+  public void setContacts(List<InetSocketAddress> contacts) {
+    List<InetSocketAddress> copy = List.copyOf(contacts);
+    run(() -> core.setContacts(copy));
+  }
+
+  /**
+   * Binds the UDP socket and begins to join.
+   *
+   * @throws FoxtaildoorException with {@link ErrorKind#INTERNAL} when the address cannot be bound
+   */
+  public void start() {
+    Bootstrap bootstrap =
+        new Bootstrap()
+            .group(loop)
+            .channel(NioDatagramChannel.class)
+            .option(ChannelOption.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+            .handler(new Receiver());
+    ChannelFuture bound = bootstrap.bind(initial.address()).awaitUninterruptibly();
+    if (!bound.isSuccess()) {
+      throw new FoxtaildoorException(
+          ErrorKind.INTERNAL, "cannot bind UDP " + initial.address(), bound.cause());
+    }
+    channel = bound.channel();
+    long tick = SwimCore.TICK.toNanos();
+    run(
+        () -> {
+          core.start(nanoClock.getAsLong());
+          ticks =
+              loop.scheduleWithFixedDelay(
+                  () -> guarded(this::tick), tick, tick, TimeUnit.NANOSECONDS);
+        });
+  }
+
+  /** Completes when the first state exchange finished or the node is the only contact. */
+  public CompletableFuture<Void> joined() {
+    return joined.copy();
+  }
+
+  @Override
+  public NodeRecord self() {
+    return core.self();
+  }
+
+  @Override
+  public List<NodeRecord> nodes() {
+    return List.copyOf(core.table().records());
+  }
+
+  @Override
+  public Optional<NodeRecord> node(NodeId id) {
+    return Optional.ofNullable(core.table().record(id));
+  }
+
+  @Override
+  public List<NodeRecord> upstreams(ServiceId service) {
+    return core.index().find(service);
+  }
+
+  @Override
+  public void addListener(Consumer<NodeRecord> listener) {
+    listeners.add(listener);
+  }
+
+  /** Counters of datagrams and errors. */
+  public MembershipCounters counters() {
+    return counters;
+  }
+
+  /**
+   * Announces the local upstream, or renews its announcement, which otherwise expires.
+   *
+   * @param slots concurrent requests that it serves
+   * @param age time since the start of the instance
+   */
+  public void announceUpstream(ServiceId service, int slots, Duration age) {
+    if (slots <= 0) {
+      throw new FoxtaildoorException(ErrorKind.INVALID_INPUT, "slots must be positive");
+    }
+    run(
+        () -> {
+          long now = nanoClock.getAsLong();
+          core.announce(service, slots, now - age.toNanos(), now);
+        });
+  }
+
+  /** Withdraws the announcement of the local upstream. */
+  public void withdrawUpstream() {
+    run(core::withdraw);
+  }
+
+  /** Announces that the node leaves; completes when this was pushed to other nodes twice. */
+  public CompletableFuture<Void> leave() {
+    run(() -> core.leave(nanoClock.getAsLong()));
+    return leavingPushed.copy();
+  }
+
+  /** Sends a version notice to random nodes that accept work. */
+  public void sendNotices(VersionStamp stamp, int fanout) {
+    run(() -> core.sendNotices(stamp, fanout, nanoClock.getAsLong()));
+  }
+
+  /**
+   * Asks every live node for its status.
+   *
+   * @param time over which the requests are spread and after which the result is complete
+   */
+  public CompletableFuture<List<StatusAnswer>> queryStatus(Duration time) {
+    CompletableFuture<List<StatusAnswer>> result = new CompletableFuture<>();
+    run(() -> queries.put(core.queryStatus(time.toNanos(), nanoClock.getAsLong()), result));
+    return result;
+  }
+
+  /** Answers {@code StateDigest} and {@code StateExchange} frames. */
+  @Override
+  public Frame handle(Frame request) {
+    Frame reply = core.answer(request, nanoClock.getAsLong());
+    if (request.hasStateExchange() && reply.hasStateExchange()) {
+      run(() -> core.mergeExchange(request.getStateExchange(), nanoClock.getAsLong()));
+    }
+    return reply;
+  }
+
+  /** Announces that the node left and closes the socket; does not wait. */
+  @Override
+  public void close() {
+    run(this::closeOnLoop);
+  }
+
+  /** Completes when the socket is closed. */
+  public CompletableFuture<Void> closed() {
+    return closed.copy();
+  }
+
+  private void closeOnLoop() {
+    if (ticks == null) {
+      closed.complete(null);
+      return;
+    }
+    if (ticks.isCancelled()) {
+      return;
+    }
+    core.left(nanoClock.getAsLong());
+    perform(core.drain());
+    ticks.cancel(false);
+    FoxtaildoorException stopped =
+        new FoxtaildoorException(ErrorKind.LEAVING, "membership is closed");
+    queries.values().forEach(query -> query.completeExceptionally(stopped));
+    ChannelFuture unused = channel.close().addListener(done -> closed.complete(null));
+  }
+
+  private void tick() {
+    core.tick(nanoClock.getAsLong());
+    perform(core.drain());
+  }
+
+  /** Runs an action of the core on its event loop and performs the outputs. */
+  private void run(Runnable action) {
+    loop.execute(
+        () -> {
+          action.run();
+          perform(core.drain());
+        });
+  }
+
+  private void perform(List<SwimOutput> outputs) {
+    boolean sent = false;
+    for (SwimOutput output : outputs) {
+      if (output instanceof SwimOutput.Send send) {
+        send(send);
+        sent = true;
+      } else if (output instanceof SwimOutput.Call call) {
+        call(call);
+      } else if (output instanceof SwimOutput.Changed changed) {
+        listeners.forEach(listener -> guarded(() -> listener.accept(changed.record())));
+      } else if (output instanceof SwimOutput.Heard heard) {
+        guarded(() -> callbacks.heard().accept(heard.from(), heard.stamp()));
+      } else if (output instanceof SwimOutput.Joined) {
+        joined.complete(null);
+      } else if (output instanceof SwimOutput.LeavingPushed) {
+        leavingPushed.complete(null);
+      } else if (output instanceof SwimOutput.StatusFinished finished) {
+        queries.remove(finished.query()).complete(finished.answers());
+      }
+    }
+    if (sent && channel != null) {
+      channel.flush();
+    }
+  }
+
+  private void send(SwimOutput.Send send) {
+    if (channel == null) {
+      return;
+    }
+    byte[] bytes = send.datagram().toByteArray();
+    counters.increment(Counter.SENT_DATAGRAMS);
+    counters.add(Counter.SENT_BYTES, bytes.length);
+    DatagramPacket packet = new DatagramPacket(Unpooled.wrappedBuffer(bytes), send.to());
+    ChannelFuture unused =
+        channel
+            .write(packet)
+            .addListener(
+                done -> {
+                  if (!done.isSuccess()) {
+                    counters.increment(Counter.SEND_FAILURES);
+                  }
+                });
+  }
+
+  private void call(SwimOutput.Call call) {
+    CompletableFuture<Frame> unused =
+        caller
+            .call(call.to(), call.request())
+            .whenComplete(
+                (reply, error) ->
+                    run(
+                        () ->
+                            core.onReply(
+                                call.callId(),
+                                error == null ? reply : null,
+                                nanoClock.getAsLong())));
+  }
+
+  /** A listener that fails must not stop the protocol, nor a failed tick the later ones. */
+  private static void guarded(Runnable listener) {
+    try {
+      listener.run();
+    } catch (RuntimeException e) {
+      LOG.log(Level.ERROR, "a membership callback failed", e);
+    }
+  }
+
+  /** Passes received datagrams to the core. */
+  private final class Receiver extends SimpleChannelInboundHandler<DatagramPacket> {
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
+      codec
+          .decode(packet.content().nioBuffer())
+          .ifPresent(
+              datagram -> {
+                guarded(() -> core.onDatagram(packet.sender(), datagram, nanoClock.getAsLong()));
+                perform(core.drain());
+              });
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+      // A failed datagram, such as one with an ICMP error, does not affect the socket.
+      LOG.log(Level.DEBUG, "a datagram could not be processed", cause);
+    }
+  }
+}
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/process/membership/MembershipCallbacks.java
@@ -0,0 +1,18 @@
+package io.foxtaildoor.process.membership;
+
+import io.foxtaildoor.version.manifest.VersionStamp;
+import java.net.InetSocketAddress;
+import java.util.function.BiConsumer;
+import java.util.function.Supplier;
+
+/**
+ * What membership needs from the rest of the node; none of the functions may block.
+ *
+ * @param held the configuration version in force, carried by every datagram
+ * @param heard receives the version in each datagram with its sender
+ * @param status what the node reports of itself
+ */
+public record MembershipCallbacks(
+    Supplier<VersionStamp> held,
+    BiConsumer<InetSocketAddress, VersionStamp> heard,
+    Supplier<NodeStatus> status) {}
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/process/membership/Outbox.java
@@ -0,0 +1,106 @@
+package io.foxtaildoor.process.membership;
+
+import io.foxtaildoor.common.NodeId;
+import io.foxtaildoor.protocol.Datagram;
+import io.foxtaildoor.protocol.HeldVersion;
+import io.foxtaildoor.protocol.NodeRecordMessage;
+import io.foxtaildoor.version.manifest.VersionStamp;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Supplier;
+
+/** Collects the outputs of the core and fills datagrams with updates. */
+final class Outbox {
+  /** Bytes of tag and length of one update in a datagram. */
+  private static final int UPDATE_HEADER_BYTES = 3;
+
+  private final MembershipSettings settings;
+  private final RecordCodec codec;
+  private final GossipQueue queue;
+  private final Supplier<NodeRecord> self;
+  private final Supplier<VersionStamp> held;
+  private List<SwimOutput> outputs = new ArrayList<>();
+  private VersionStamp encodedStamp = VersionStamp.NONE;
+  private HeldVersion encodedHeld = VersionStamp.NONE.toMessage();
+  private int sendLimit;
+
+  Outbox(
+      MembershipSettings settings,
+      RecordCodec codec,
+      GossipQueue queue,
+      Supplier<NodeRecord> self,
+      Supplier<VersionStamp> held) {
+    this.settings = settings;
+    this.codec = codec;
+    this.queue = queue;
+    this.self = self;
+    this.held = held;
+    fleetSize(1);
+  }
+
+  /** Sets the number of nodes, which decides how often an update is sent. */
+  void fleetSize(int nodes) {
+    int log2 = Integer.SIZE - Integer.numberOfLeadingZeros(Math.max(1, nodes));
+    sendLimit = settings.disseminationFactor() * log2;
+  }
+
+  void add(SwimOutput output) {
+    outputs.add(output);
+  }
+
+  /** Returns the outputs collected since the last call. */
+  List<SwimOutput> drain() {
+    List<SwimOutput> drained = outputs;
+    outputs = new ArrayList<>();
+    return drained;
+  }
+
+  /** Starts a datagram of the local node, without body and updates. */
+  Datagram.Builder datagram() {
+    VersionStamp stamp = held.get();
+    if (!stamp.equals(encodedStamp)) {
+      encodedStamp = stamp;
+      encodedHeld = stamp.toMessage();
+    }
+    NodeRecord local = self.get();
+    Datagram.Builder datagram =
+        Datagram.newBuilder()
+            .setProtocolVersion(DatagramCodec.PROTOCOL_VERSION)
+            .setCluster(settings.cluster())
+            .setSender(local.id().value())
+            .setSenderIncarnation(local.incarnation());
+    return stamp.version() > 0 ? datagram.setHeld(encodedHeld) : datagram;
+  }
+
+  /**
+   * Sends a datagram with as many updates as fit.
+   *
+   * @param first records that are sent in any case, before those of the queue
+   */
+  void send(
+      InetSocketAddress to, Datagram.Builder datagram, List<NodeRecord> first, long nowNanos) {
+    List<NodeId> included = new ArrayList<>();
+    int[] free = {settings.maxUpdateBytes()};
+    for (NodeRecord record : first) {
+      if (!included.contains(record.id()) && pack(datagram, record, free, nowNanos)) {
+        included.add(record.id());
+      }
+    }
+    queue.take(
+        sendLimit,
+        record -> included.contains(record.id()) || pack(datagram, record, free, nowNanos));
+    outputs.add(new SwimOutput.Send(to, datagram.build()));
+  }
+
+  private boolean pack(Datagram.Builder datagram, NodeRecord record, int[] free, long nowNanos) {
+    NodeRecordMessage message = codec.encode(record, nowNanos);
+    int size = message.getSerializedSize() + UPDATE_HEADER_BYTES;
+    if (size > free[0]) {
+      return false;
+    }
+    free[0] -= size;
+    datagram.addUpdates(message);
+    return true;
+  }
+}
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/process/membership/PeerSampler.java
@@ -0,0 +1,113 @@
+package io.foxtaildoor.process.membership;
+
+import io.foxtaildoor.common.NodeId;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Function;
+import java.util.function.Predicate;
+import java.util.random.RandomGenerator;
+
+/**
+ * Chooses other nodes at random: in a shuffled round robin for probes, and independently for
+ * everything else. Nodes that are no longer live stay in the pool until a choice meets them.
+ */
+final class PeerSampler {
+  /**
+   * Draws for each node wanted. At 11 data centres a node of the own data centre is found in 32
+   * draws with a probability of 95%.
+   */
+  private static final int DRAWS = 32;
+
+  private final Function<NodeId, NodeRecord> liveRecord;
+  private final RandomGenerator random;
+  private final List<NodeId> pool = new ArrayList<>();
+  private int next;
+
+  /**
+   * Creates a sampler.
+   *
+   * @param liveRecord gives the record of a live node and null for any other
+   */
+  PeerSampler(Function<NodeId, NodeRecord> liveRecord, RandomGenerator random) {
+    this.liveRecord = liveRecord;
+    this.random = random;
+  }
+
+  /** Adds a node that became live, at a random place among those not probed yet in this round. */
+  void add(NodeId id) {
+    pool.add(id);
+    int last = pool.size() - 1;
+    Collections.swap(pool, last, next + random.nextInt(last - next + 1));
+  }
+
+  /** Returns the next node of the round robin, or null when no other node is live. */
+  NodeRecord nextInRound() {
+    for (int rounds = 0; rounds < 2; rounds++) {
+      while (next < pool.size()) {
+        NodeRecord record = liveRecord.apply(pool.get(next++));
+        if (record != null) {
+          return record;
+        }
+      }
+      startRound();
+    }
+    return null;
+  }
+
+  /** Returns up to {@code count} different live nodes that satisfy a condition. */
+  List<NodeRecord> sample(int count, Predicate<NodeRecord> condition) {
+    Map<NodeId, NodeRecord> chosen = new LinkedHashMap<>();
+    if (pool.size() <= count * DRAWS) {
+      sampleSmall(count, condition, chosen);
+    } else {
+      for (int i = 0; i < count * DRAWS && chosen.size() < count; i++) {
+        offer(pool.get(random.nextInt(pool.size())), condition, chosen);
+      }
+    }
+    return new ArrayList<>(chosen.values());
+  }
+
+  /** Returns one live node that satisfies a condition, or null. */
+  NodeRecord sampleOne(Predicate<NodeRecord> condition) {
+    List<NodeRecord> chosen = sample(1, condition);
+    return chosen.isEmpty() ? null : chosen.get(0);
+  }
+
+  private void sampleSmall(
+      int count, Predicate<NodeRecord> condition, Map<NodeId, NodeRecord> chosen) {
+    List<NodeId> shuffled = new ArrayList<>(pool);
+    shuffle(shuffled);
+    for (NodeId id : shuffled) {
+      if (chosen.size() == count) {
+        return;
+      }
+      offer(id, condition, chosen);
+    }
+  }
+
+  private void offer(NodeId id, Predicate<NodeRecord> condition, Map<NodeId, NodeRecord> chosen) {
+    NodeRecord record = liveRecord.apply(id);
+    if (record != null && condition.test(record)) {
+      chosen.putIfAbsent(id, record);
+    }
+  }
+
+  private void startRound() {
+    pool.removeIf(id -> liveRecord.apply(id) == null);
+    List<NodeId> distinct = new ArrayList<>(new LinkedHashSet<>(pool));
+    pool.clear();
+    pool.addAll(distinct);
+    shuffle(pool);
+    next = 0;
+  }
+
+  private void shuffle(List<NodeId> list) {
+    for (int i = list.size() - 1; i > 0; i--) {
+      Collections.swap(list, i, random.nextInt(i + 1));
+    }
+  }
+}
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/process/membership/Prober.java
@@ -0,0 +1,270 @@
+package io.foxtaildoor.process.membership;
+
+import io.foxtaildoor.common.NodeId;
+import io.foxtaildoor.protocol.Datagram;
+import io.foxtaildoor.protocol.IndirectProbe;
+import io.foxtaildoor.protocol.Probe;
+import io.foxtaildoor.protocol.ProbeAck;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.BiConsumer;
+import java.util.random.RandomGenerator;
+import org.agrona.collections.Long2ObjectHashMap;
+
+/** Probes other nodes, directly and through others, and answers their probes. */
+final class Prober {
+  /** Probes in one period to verify what state exchanges said of live nodes. */
+  private static final int VERIFICATIONS_PER_PERIOD = 2;
+
+  /** Bounds the probes made for others at the same time. */
+  private static final int MAX_ATTEMPTS = 512;
+
+  /** Sequence numbers start below this value, which keeps their encoding short. */
+  private static final int SEQUENCE_START_BOUND = 1 << 16;
+
+  /** Why a probe was made. */
+  private enum Kind {
+    /** A probe of a live node; a failure raises a suspicion. */
+    LIVE,
+    /** A probe of a dead node. */
+    DEAD,
+    /** A probe of a contact address whose node is not known. */
+    CONTACT,
+    /** A probe on behalf of another node. */
+    RELAYED
+  }
+
+  /** A probe that waits for its answer. */
+  private static final class Attempt {
+    private final Kind kind;
+    private final InetSocketAddress address;
+    private final NodeRecord target;
+    private final long startedAt;
+    private final Set<NodeId> helpers = new HashSet<>();
+    private boolean indirect;
+    private InetSocketAddress relayTo;
+    private long relaySequence;
+
+    Attempt(Kind kind, InetSocketAddress address, NodeRecord target, long startedAt) {
+      this.kind = kind;
+      this.address = address;
+      this.target = target;
+      this.startedAt = startedAt;
+    }
+  }
+
+  private final MembershipSettings settings;
+  private final RecordCodec codec;
+  private final LocalNode local;
+  private final FleetState fleet;
+  private final Outbox outbox;
+  private final BiConsumer<InetSocketAddress, Long> rediscovered;
+  private final Long2ObjectHashMap<Attempt> attempts = new Long2ObjectHashMap<>();
+  private final RandomGenerator random;
+  private List<InetSocketAddress> contacts = List.of();
+  private boolean contactNext;
+  private long sequence;
+  private long nextProbeAt;
+  private long nextDeadProbeAt;
+
+  /**
+   * Creates a prober.
+   *
+   * @param rediscovered told of a dead or unknown node that answered, with the present time
+   */
+  Prober(
+      MembershipSettings settings,
+      RecordCodec codec,
+      LocalNode local,
+      FleetState fleet,
+      Outbox outbox,
+      RandomGenerator random,
+      BiConsumer<InetSocketAddress, Long> rediscovered) {
+    this.settings = settings;
+    this.codec = codec;
+    this.local = local;
+    this.fleet = fleet;
+    this.outbox = outbox;
+    this.random = random;
+    this.rediscovered = rediscovered;
+    this.sequence = random.nextInt(SEQUENCE_START_BOUND);
+  }
+
+  void setContacts(List<InetSocketAddress> addresses) {
+    contacts = List.copyOf(addresses);
+  }
+
+  /** Sets the phase of the periodic probes at random, so that nodes do not probe in step. */
+  void start(long nowNanos) {
+    attempts.clear();
+    nextProbeAt = nowNanos + random.nextLong(settings.probePeriod().toNanos());
+    nextDeadProbeAt = nowNanos + random.nextLong(settings.deadProbePeriod().toNanos());
+  }
+
+  /** Sends the probes that are due and treats those that were not answered. */
+  void tick(long nowNanos) {
+    checkAttempts(nowNanos);
+    if (nowNanos - nextProbeAt >= 0) {
+      nextProbeAt += settings.probePeriod().toNanos();
+      probeLive(fleet.sampler().nextInRound(), null, nowNanos);
+      for (int i = 0; i < VERIFICATIONS_PER_PERIOD; i++) {
+        verify(nowNanos);
+      }
+    }
+    if (nowNanos - nextDeadProbeAt >= 0) {
+      nextDeadProbeAt += settings.deadProbePeriod().toNanos();
+      probeLost(nowNanos);
+    }
+  }
+
+  /** Answers a probe. */
+  void onProbe(InetSocketAddress from, NodeId sender, Probe probe, boolean refuted, long nowNanos) {
+    List<NodeRecord> first = new ArrayList<>();
+    addIfPresent(first, fleet.accusation(sender));
+    boolean meant = probe.getTarget().equals(local.record().id().value());
+    if (refuted || !meant || fleet.liveRecord(sender) == null) {
+      first.add(local.record());
+    }
+    ProbeAck ack = ProbeAck.newBuilder().setSequence(probe.getSequence()).build();
+    outbox.send(from, outbox.datagram().setAck(ack), first, nowNanos);
+  }
+
+  /** Probes a node on behalf of another. */
+  void onIndirect(InetSocketAddress from, IndirectProbe request, long nowNanos) {
+    NodeRecord target = codec.decode(request.getTarget(), nowNanos).orElse(null);
+    if (target == null || attempts.size() >= MAX_ATTEMPTS) {
+      return;
+    }
+    Attempt attempt = new Attempt(Kind.RELAYED, target.address(), target, nowNanos);
+    attempt.relayTo = from;
+    attempt.relaySequence = request.getSequence();
+    send(attempt, null, nowNanos);
+  }
+
+  /** Takes the answer to a probe. */
+  void onAck(InetSocketAddress from, NodeId sender, ProbeAck ack, long nowNanos) {
+    Attempt attempt = attempts.remove(ack.getSequence());
+    if (attempt == null) {
+      return;
+    }
+    if (attempt.kind == Kind.CONTACT) {
+      rediscovered.accept(from, nowNanos);
+    } else if (sender.equals(attempt.target.id())) {
+      onTargetAnswered(attempt, nowNanos);
+    } else if (attempt.helpers.contains(sender)) {
+      fleet.answered(attempt.target.id());
+    } else if (from.equals(attempt.address)) {
+      fleet.replacedAtAddress(attempt.target.id(), nowNanos);
+    }
+  }
+
+  private void onTargetAnswered(Attempt attempt, long nowNanos) {
+    fleet.answered(attempt.target.id());
+    if (attempt.kind == Kind.DEAD) {
+      rediscovered.accept(attempt.address, nowNanos);
+    }
+    if (attempt.kind == Kind.RELAYED) {
+      ProbeAck ack = ProbeAck.newBuilder().setSequence(attempt.relaySequence).build();
+      outbox.send(attempt.relayTo, outbox.datagram().setAck(ack), List.of(), nowNanos);
+    }
+  }
+
+  private void verify(long nowNanos) {
+    NodeRecord told = fleet.takeVerification();
+    if (told != null) {
+      probeLive(fleet.liveRecord(told.id()), told, nowNanos);
+    }
+  }
+
+  private void probeLive(NodeRecord target, NodeRecord told, long nowNanos) {
+    if (target != null) {
+      send(new Attempt(Kind.LIVE, target.address(), target, nowNanos), told, nowNanos);
+    }
+  }
+
+  /** Probes a dead node or an unknown contact in turn, so that partitions find each other. */
+  private void probeLost(long nowNanos) {
+    contactNext = !contactNext;
+    NodeRecord dead = fleet.ended().randomDead();
+    InetSocketAddress contact = unknownContact();
+    if (contact != null && (contactNext || dead == null)) {
+      send(new Attempt(Kind.CONTACT, contact, null, nowNanos), null, nowNanos);
+    } else if (dead != null) {
+      send(new Attempt(Kind.DEAD, dead.address(), dead, nowNanos), null, nowNanos);
+    }
+  }
+
+  private InetSocketAddress unknownContact() {
+    List<InetSocketAddress> unknown = new ArrayList<>();
+    for (InetSocketAddress contact : contacts) {
+      if (!contact.equals(local.record().address()) && fleet.liveAt(contact) == null) {
+        unknown.add(contact);
+      }
+    }
+    return unknown.isEmpty() ? null : unknown.get(random.nextInt(unknown.size()));
+  }
+
+  private void send(Attempt attempt, NodeRecord told, long nowNanos) {
+    sequence++;
+    attempts.put(sequence, attempt);
+    Probe.Builder probe = Probe.newBuilder().setSequence(sequence);
+    List<NodeRecord> first = new ArrayList<>();
+    addIfPresent(first, told);
+    if (attempt.target == null) {
+      first.add(local.record());
+    } else {
+      probe.setTarget(attempt.target.id().value());
+      addIfPresent(first, fleet.accusation(attempt.target.id()));
+    }
+    Datagram.Builder datagram = outbox.datagram().setProbe(probe);
+    outbox.send(attempt.address, datagram, first, nowNanos);
+  }
+
+  private void checkAttempts(long nowNanos) {
+    List<NodeId> failed = new ArrayList<>();
+    Long2ObjectHashMap<Attempt>.EntryIterator entries = attempts.entrySet().iterator();
+    while (entries.hasNext()) {
+      entries.next();
+      Attempt attempt = entries.getValue();
+      long age = nowNanos - attempt.startedAt;
+      if (age >= settings.probePeriod().toNanos()) {
+        if (attempt.kind == Kind.LIVE) {
+          failed.add(attempt.target.id());
+        }
+        entries.remove();
+      } else if (age >= settings.indirectDelay().toNanos()) {
+        probeIndirectly(entries.getLongKey(), attempt, nowNanos);
+      }
+    }
+    failed.forEach(id -> fleet.suspect(id, nowNanos));
+  }
+
+  private void probeIndirectly(long attemptSequence, Attempt attempt, long nowNanos) {
+    if (attempt.indirect || attempt.kind != Kind.LIVE) {
+      return;
+    }
+    attempt.indirect = true;
+    NodeId target = attempt.target.id();
+    IndirectProbe request =
+        IndirectProbe.newBuilder()
+            .setSequence(attemptSequence)
+            .setTarget(codec.encode(attempt.target, nowNanos))
+            .build();
+    List<NodeRecord> helpers =
+        fleet.sampler().sample(settings.indirectProbes(), node -> !node.id().equals(target));
+    for (NodeRecord helper : helpers) {
+      attempt.helpers.add(helper.id());
+      Datagram.Builder datagram = outbox.datagram().setIndirect(request);
+      outbox.send(helper.address(), datagram, List.of(), nowNanos);
+    }
+  }
+
+  private static void addIfPresent(List<NodeRecord> records, NodeRecord record) {
+    if (record != null) {
+      records.add(record);
+    }
+  }
+}
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/process/membership/RecordCodec.java
@@ -0,0 +1,141 @@
+package io.foxtaildoor.process.membership;
+
+import com.google.protobuf.ByteString;
+import io.foxtaildoor.common.DataCentreId;
+import io.foxtaildoor.common.ErrorKind;
+import io.foxtaildoor.common.FoxtaildoorException;
+import io.foxtaildoor.common.NodeId;
+import io.foxtaildoor.common.RegionId;
+import io.foxtaildoor.common.ServiceId;
+import io.foxtaildoor.protocol.Announcement;
+import io.foxtaildoor.protocol.NodeRecordMessage;
+import io.foxtaildoor.protocol.NodeStateCode;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+
+/**
+ * Converts node records from and to their wire form. Ids of regions, data centres and services are
+ * interned, because 12,000 records name only a few of them. Safe for use by several threads.
+ */
+final class RecordCodec {
+  /** Bounds the interning tables against a sender of ever new names. */
+  private static final int MAX_INTERNED = 8_192;
+
+  private static final int MAX_PORT = 65_535;
+
+  /** A larger value is no count of refutations and would leave no room to refute. */
+  private static final long MAX_INCARNATION = Long.MAX_VALUE / 2;
+
+  private static final int MAX_SLOTS = 1_000_000;
+
+  /** Ages above one year say nothing more about slow start. */
+  private static final long MAX_AGE_MILLIS = TimeUnit.DAYS.toMillis(365);
+
+  private final Map<String, RegionId> regions = new ConcurrentHashMap<>();
+  private final Map<String, DataCentreId> dataCentres = new ConcurrentHashMap<>();
+  private final Map<String, ServiceId> services = new ConcurrentHashMap<>();
+
+  /** Encodes a record; the age of the instance is that at {@code nowNanos}. */
+  NodeRecordMessage encode(NodeRecord record, long nowNanos) {
+    NodeRecordMessage.Builder message =
+        NodeRecordMessage.newBuilder()
+            .setNodeId(record.id().value())
+            .setAddress(ByteString.copyFrom(record.address().getAddress().getAddress()))
+            .setPeerPort(record.address().getPort())
+            .setRegion(record.region().value())
+            .setDataCentre(record.dataCentre().value())
+            .setIncarnation(record.incarnation())
+            .setState(code(record.state()));
+    if (record.upstream().isPresent()) {
+      UpstreamAnnouncement upstream = record.upstream().get();
+      long age = TimeUnit.NANOSECONDS.toMillis(nowNanos - upstream.startedAtNanos());
+      message.setAnnouncement(
+          Announcement.newBuilder()
+              .setService(upstream.service().value())
+              .setSlots(upstream.slots())
+              .setAgeMillis(Math.max(0, Math.min(age, MAX_AGE_MILLIS))));
+    }
+    return message.build();
+  }
+
+  /** Decodes a record; an invalid one gives an empty result. */
+  Optional<NodeRecord> decode(NodeRecordMessage message, long nowNanos) {
+    NodeState state = state(message.getState());
+    if (state == null
+        || message.getPeerPort() <= 0
+        || message.getPeerPort() > MAX_PORT
+        || message.getIncarnation() < 0
+        || message.getIncarnation() > MAX_INCARNATION) {
+      return Optional.empty();
+    }
+    try {
+      InetAddress address = InetAddress.getByAddress(message.getAddress().toByteArray());
+      return Optional.of(
+          new NodeRecord(
+              new NodeId(message.getNodeId()),
+              new InetSocketAddress(address, message.getPeerPort()),
+              intern(regions, message.getRegion(), RegionId::new),
+              intern(dataCentres, message.getDataCentre(), DataCentreId::new),
+              message.getIncarnation(),
+              state,
+              announcement(message, nowNanos)));
+    } catch (UnknownHostException | FoxtaildoorException e) {
+      return Optional.empty();
+    }
+  }
+
+  /** Returns the state of a wire code, or null for one that this version does not know. */
+  static NodeState state(NodeStateCode code) {
+    return switch (code) {
+      case ALIVE -> NodeState.ALIVE;
+      case SUSPECT -> NodeState.SUSPECT;
+      case LEAVING -> NodeState.LEAVING;
+      case DEAD -> NodeState.DEAD;
+      case LEFT -> NodeState.LEFT;
+      case UNRECOGNIZED -> null;
+    };
+  }
+
+  private static NodeStateCode code(NodeState state) {
+    return switch (state) {
+      case ALIVE -> NodeStateCode.ALIVE;
+      case SUSPECT -> NodeStateCode.SUSPECT;
+      case LEAVING -> NodeStateCode.LEAVING;
+      case DEAD -> NodeStateCode.DEAD;
+      case LEFT -> NodeStateCode.LEFT;
+    };
+  }
+
+  private Optional<UpstreamAnnouncement> announcement(NodeRecordMessage message, long nowNanos) {
+    if (!message.hasAnnouncement()) {
+      return Optional.empty();
+    }
+    Announcement upstream = message.getAnnouncement();
+    if (upstream.getSlots() <= 0 || upstream.getSlots() > MAX_SLOTS) {
+      throw new FoxtaildoorException(ErrorKind.INVALID_INPUT, "invalid number of slots");
+    }
+    long age = Math.max(0, Math.min(upstream.getAgeMillis(), MAX_AGE_MILLIS));
+    ServiceId service = intern(services, upstream.getService(), ServiceId::new);
+    return Optional.of(
+        new UpstreamAnnouncement(
+            service, upstream.getSlots(), nowNanos - TimeUnit.MILLISECONDS.toNanos(age)));
+  }
+
+  private static <T> T intern(Map<String, T> table, String value, Function<String, T> create) {
+    T known = table.get(value);
+    if (known != null) {
+      return known;
+    }
+    T created = create.apply(value);
+    if (table.size() < MAX_INTERNED) {
+      table.put(value, created);
+    }
+    return created;
+  }
+}
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/process/membership/StateExchanges.java
@@ -0,0 +1,141 @@
+package io.foxtaildoor.process.membership;
+
+import io.foxtaildoor.common.ErrorKind;
+import io.foxtaildoor.protocol.Frame;
+import io.foxtaildoor.protocol.NodeRecordMessage;
+import io.foxtaildoor.protocol.ProtocolError;
+import io.foxtaildoor.protocol.StateDigest;
+import io.foxtaildoor.protocol.StateExchange;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Builds the frames of state exchanges from the table alone, so any thread can answer a frame. The
+ * opener sends the hash of each bucket; the other node replies with its own hashes, or with none
+ * when all are equal. The opener then sends its records of a few differing buckets at a time, and
+ * the other node replies with its records that are newer or that the opener lacks.
+ */
+final class StateExchanges {
+  /** Bytes of records in one frame, well below the frame limit of 1 MiB. */
+  private static final int MAX_RECORD_BYTES = 768 * 1024;
+
+  private static final int RECORD_HEADER_BYTES = 3;
+
+  private final MemberTable table;
+  private final RecordCodec codec;
+
+  StateExchanges(MemberTable table, RecordCodec codec) {
+    this.table = table;
+    this.codec = codec;
+  }
+
+  /** Returns a frame with the hash of each bucket. */
+  Frame digest() {
+    StateDigest.Builder digest = StateDigest.newBuilder();
+    for (long hash : table.hashes()) {
+      digest.addBucketHashes(hash);
+    }
+    return Frame.newBuilder().setStateDigest(digest).build();
+  }
+
+  /** Returns the buckets whose hashes differ from those received; none when all are equal. */
+  List<Integer> differing(StateDigest received) {
+    List<Integer> differing = new ArrayList<>();
+    if (received.getBucketHashesCount() != MemberTable.BUCKETS) {
+      return differing;
+    }
+    long[] own = table.hashes();
+    for (int i = 0; i < MemberTable.BUCKETS; i++) {
+      if (own[i] != received.getBucketHashes(i)) {
+        differing.add(i);
+      }
+    }
+    return differing;
+  }
+
+  /** Returns a frame with all records of the buckets. */
+  Frame records(List<Integer> buckets, long nowNanos) {
+    return exchange(buckets, Map.of(), true, nowNanos);
+  }
+
+  /** Answers a digest or exchange frame; any other frame gets an error frame. */
+  Frame answer(Frame request, long nowNanos) {
+    return switch (request.getBodyCase()) {
+      case STATE_DIGEST -> answerDigest(request.getStateDigest());
+      case STATE_EXCHANGE -> answerExchange(request.getStateExchange(), nowNanos);
+      default -> error("expected a state digest or exchange");
+    };
+  }
+
+  private Frame answerDigest(StateDigest received) {
+    if (received.getBucketHashesCount() != MemberTable.BUCKETS) {
+      return error("a state digest must have 256 hashes");
+    }
+    if (differing(received).isEmpty()) {
+      return Frame.newBuilder().setStateDigest(StateDigest.getDefaultInstance()).build();
+    }
+    return digest();
+  }
+
+  private Frame answerExchange(StateExchange received, long nowNanos) {
+    Set<Integer> buckets = new HashSet<>(received.getBucketsList());
+    for (int bucket : buckets) {
+      if (bucket < 0 || bucket >= MemberTable.BUCKETS) {
+        return error("no bucket " + bucket);
+      }
+    }
+    Map<String, NodeRecordMessage> known = new HashMap<>();
+    for (NodeRecordMessage message : received.getRecordsList()) {
+      known.put(message.getNodeId(), message);
+    }
+    return exchange(List.copyOf(buckets), known, false, nowNanos);
+  }
+
+  private Frame exchange(
+      List<Integer> buckets, Map<String, NodeRecordMessage> known, boolean all, long nowNanos) {
+    StateExchange.Builder exchange = StateExchange.newBuilder();
+    int free = MAX_RECORD_BYTES;
+    for (int bucket : buckets) {
+      List<NodeRecordMessage> messages = new ArrayList<>();
+      int size = 0;
+      for (NodeRecord record : table.bucket(bucket)) {
+        if (all || isNews(record, known.get(record.id().value()))) {
+          NodeRecordMessage message = codec.encode(record, nowNanos);
+          messages.add(message);
+          size += message.getSerializedSize() + RECORD_HEADER_BYTES;
+        }
+      }
+      if (size > free) {
+        break;
+      }
+      free -= size;
+      exchange.addBuckets(bucket).addAllRecords(messages);
+    }
+    return Frame.newBuilder().setStateExchange(exchange).build();
+  }
+
+  /** Ended nodes are of interest only to a node that takes them to be running. */
+  private static boolean isNews(NodeRecord record, NodeRecordMessage known) {
+    if (known == null) {
+      return Records.isLive(record);
+    }
+    if (record.incarnation() != known.getIncarnation()) {
+      return record.incarnation() > known.getIncarnation();
+    }
+    NodeState state = RecordCodec.state(known.getState());
+    return state == null || record.state().compareTo(state) > 0;
+  }
+
+  private static Frame error(String detail) {
+    ProtocolError error =
+        ProtocolError.newBuilder()
+            .setKind(ErrorKind.PROTOCOL_VIOLATION.name())
+            .setDetail(detail)
+            .build();
+    return Frame.newBuilder().setError(error).build();
+  }
+}
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/process/membership/StatusQueries.java
@@ -0,0 +1,140 @@
+package io.foxtaildoor.process.membership;
+
+import io.foxtaildoor.common.NodeId;
+import io.foxtaildoor.protocol.StatusReply;
+import io.foxtaildoor.protocol.StatusRequest;
+import io.foxtaildoor.version.manifest.VersionStamp;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Supplier;
+
+/**
+ * Asks all live nodes for their status. Requests are spread evenly over the first 40% of the time
+ * of a query and repeated once to those that did not answer between 45% and 85% of it.
+ */
+final class StatusQueries {
+  private static final double PASS_SHARE = 0.40;
+  private static final double SECOND_PASS_START = 0.45;
+
+  /** Keeps a reply within one datagram of usual size. */
+  private static final int MAX_REJECTION_CHARACTERS = 256;
+
+  /** One running query. */
+  private static final class Query {
+    private final long id;
+    private final long startedAt;
+    private final long nanos;
+    private final List<NodeRecord> targets;
+    private final Map<NodeId, NodeStatus> answers = new HashMap<>();
+    private int firstSent;
+    private int secondSent;
+
+    Query(long id, long startedAt, long nanos, List<NodeRecord> targets) {
+      this.id = id;
+      this.startedAt = startedAt;
+      this.nanos = nanos;
+      this.targets = targets;
+    }
+  }
+
+  private final LocalNode local;
+  private final MemberTable table;
+  private final Outbox outbox;
+  private final Supplier<NodeStatus> status;
+  private final List<Query> running = new ArrayList<>();
+  private long lastId;
+
+  StatusQueries(LocalNode local, MemberTable table, Outbox outbox, Supplier<NodeStatus> status) {
+    this.local = local;
+    this.table = table;
+    this.outbox = outbox;
+    this.status = status;
+  }
+
+  /** Begins a query and returns its id. */
+  long begin(long nanos, long nowNanos) {
+    List<NodeRecord> targets = table.records();
+    targets.removeIf(record -> !Records.isLive(record));
+    Query query = new Query(++lastId, nowNanos, nanos, targets);
+    query.answers.put(local.record().id(), status.get());
+    running.add(query);
+    return query.id;
+  }
+
+  /** Sends the requests that are due and ends the queries whose time is over. */
+  void tick(long nowNanos) {
+    for (Iterator<Query> queries = running.iterator(); queries.hasNext(); ) {
+      Query query = queries.next();
+      double share = (nowNanos - query.startedAt) / (double) Math.max(1, query.nanos);
+      query.firstSent = ask(query, query.firstSent, share / PASS_SHARE, nowNanos);
+      query.secondSent =
+          ask(query, query.secondSent, (share - SECOND_PASS_START) / PASS_SHARE, nowNanos);
+      if (share >= 1 || query.answers.size() >= query.targets.size()) {
+        queries.remove();
+        outbox.add(new SwimOutput.StatusFinished(query.id, answers(query)));
+      }
+    }
+  }
+
+  /** Answers a request. */
+  void onRequest(InetSocketAddress from, StatusRequest request, long nowNanos) {
+    NodeStatus present = status.get();
+    String rejection = present.rejection();
+    StatusReply reply =
+        StatusReply.newBuilder()
+            .setSequence(request.getSequence())
+            .setNodeId(local.record().id().value())
+            .setHeld(present.held().toMessage())
+            .setRejectedVersion(present.rejectedVersion())
+            .setRejection(
+                rejection.substring(0, Math.min(rejection.length(), MAX_REJECTION_CHARACTERS)))
+            .setBreaches(present.breaches())
+            .build();
+    outbox.send(from, outbox.datagram().setStatusReply(reply), List.of(), nowNanos);
+  }
+
+  /** Takes a reply. */
+  void onReply(NodeId sender, StatusReply reply) {
+    if (!reply.getNodeId().equals(sender.value())) {
+      return;
+    }
+    for (Query query : running) {
+      if (query.id == reply.getSequence()) {
+        NodeStatus answered =
+            new NodeStatus(
+                VersionStamp.of(reply.getHeld()),
+                reply.getRejectedVersion(),
+                reply.getRejection(),
+                reply.getBreaches());
+        query.answers.putIfAbsent(sender, answered);
+      }
+    }
+  }
+
+  private int ask(Query query, int sent, double share, long nowNanos) {
+    int due = (int) (Math.max(0, Math.min(1, share)) * query.targets.size());
+    for (int i = sent; i < due; i++) {
+      NodeRecord target = query.targets.get(i);
+      if (!query.answers.containsKey(target.id())) {
+        StatusRequest request = StatusRequest.newBuilder().setSequence(query.id).build();
+        outbox.send(
+            target.address(), outbox.datagram().setStatusRequest(request), List.of(), nowNanos);
+      }
+    }
+    return Math.max(sent, due);
+  }
+
+  private static List<StatusAnswer> answers(Query query) {
+    List<StatusAnswer> answers = new ArrayList<>(query.targets.size());
+    for (NodeRecord target : query.targets) {
+      NodeStatus answer = query.answers.get(target.id());
+      answers.add(new StatusAnswer(target, Optional.ofNullable(answer)));
+    }
+    return List.copyOf(answers);
+  }
+}
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/process/membership/SwimCore.java
@@ -0,0 +1,269 @@
+package io.foxtaildoor.process.membership;
+
+import io.foxtaildoor.common.NodeId;
+import io.foxtaildoor.common.ServiceId;
+import io.foxtaildoor.process.membership.MembershipCounters.Counter;
+import io.foxtaildoor.protocol.Datagram;
+import io.foxtaildoor.protocol.Frame;
+import io.foxtaildoor.protocol.NodeRecordMessage;
+import io.foxtaildoor.protocol.StateExchange;
+import io.foxtaildoor.protocol.UrgentUpdates;
+import io.foxtaildoor.protocol.VersionNotice;
+import io.foxtaildoor.version.manifest.VersionStamp;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.random.RandomGenerator;
+
+/**
+ * The SWIM protocol without I/O and clock. One thread at a time calls it with what happened and the
+ * present time, and then takes the outputs with {@link #drain()}. The table and the index may be
+ * read by any thread.
+ */
+final class SwimCore {
+  /** Time between two calls of {@link #tick}; also the shortest time between urgent pushes. */
+  static final Duration TICK = Duration.ofMillis(20);
+
+  /** A longer time between two ticks means that the process was paused. */
+  private static final long PAUSE_NANOS = Duration.ofSeconds(1).toNanos();
+
+  /** Urgent records in one push; eight records fit into one datagram. */
+  private static final int URGENT_RECORDS = 8;
+
+  private static final long NEVER = Long.MIN_VALUE;
+
+  private final MembershipSettings settings;
+  private final RecordCodec codec;
+  private final LocalNode local;
+  private final MemberTable table = new MemberTable();
+  private final UpstreamIndex index = new UpstreamIndex();
+  private final MembershipCounters counters;
+  private final Outbox outbox;
+  private final FleetState fleet;
+  private final Prober prober;
+  private final StateExchanges exchanges;
+  private final ExchangeSchedule schedule;
+  private final StatusQueries queries;
+  private long lastTickAt;
+  private long lastUrgentAt;
+  private long leavingRepeatAt = NEVER;
+
+  SwimCore(
+      MembershipSettings settings,
+      NodeRecord self,
+      MembershipCallbacks callbacks,
+      MembershipCounters counters,
+      RandomGenerator random) {
+    this.settings = settings;
+    this.counters = counters;
+    codec = new RecordCodec();
+    local = new LocalNode(self, settings);
+    GossipQueue queue = new GossipQueue();
+    outbox = new Outbox(settings, codec, queue, local::record, callbacks.held());
+    fleet = new FleetState(settings, local, table, index, queue, outbox, counters, random);
+    exchanges = new StateExchanges(table, codec);
+    schedule =
+        new ExchangeSchedule(settings, codec, local, fleet, exchanges, outbox, counters, random);
+    prober = new Prober(settings, codec, local, fleet, outbox, random, schedule::request);
+    queries = new StatusQueries(local, table, outbox, callbacks.status());
+  }
+
+  MemberTable table() {
+    return table;
+  }
+
+  UpstreamIndex index() {
+    return index;
+  }
+
+  /** Returns the record of the local node; for any thread. */
+  NodeRecord self() {
+    return local.record();
+  }
+
+  /** Returns the outputs since the last call. */
+  List<SwimOutput> drain() {
+    return outbox.drain();
+  }
+
+  /** Sets the addresses through which the node joins and finds partitioned nodes again. */
+  void setContacts(List<InetSocketAddress> contacts) {
+    prober.setContacts(contacts);
+    schedule.setContacts(contacts);
+  }
+
+  /** Begins to join. */
+  void start(long nowNanos) {
+    lastTickAt = nowNanos;
+    lastUrgentAt = nowNanos;
+    prober.start(nowNanos);
+    schedule.start(nowNanos);
+  }
+
+  /** Does what is due; to be called every {@link #TICK}. */
+  void tick(long nowNanos) {
+    long elapsed = nowNanos - lastTickAt;
+    lastTickAt = nowNanos;
+    if (elapsed > PAUSE_NANOS) {
+      resume(elapsed, nowNanos);
+    }
+    if (local.expire(nowNanos)) {
+      fleet.localChanged();
+    }
+    fleet.expire(nowNanos);
+    prober.tick(nowNanos);
+    schedule.tick(nowNanos);
+    queries.tick(nowNanos);
+    if (leavingRepeatAt != NEVER && nowNanos - leavingRepeatAt >= 0) {
+      leavingRepeatAt = NEVER;
+      pushUrgent(List.of(local.record()), nowNanos);
+      outbox.add(new SwimOutput.LeavingPushed());
+    }
+    flushUrgent(nowNanos);
+  }
+
+  /** Takes a datagram that {@link DatagramCodec} accepted. */
+  void onDatagram(InetSocketAddress from, Datagram datagram, long nowNanos) {
+    NodeId sender = new NodeId(datagram.getSender());
+    fleet.heardFrom(from, sender, datagram.getSenderIncarnation(), nowNanos);
+    long incarnation = local.record().incarnation();
+    mergeUpdates(datagram, nowNanos);
+    boolean refuted = local.record().incarnation() != incarnation;
+    heard(from, VersionStamp.of(datagram.getHeld()));
+    switch (datagram.getBodyCase()) {
+      case PROBE -> prober.onProbe(from, sender, datagram.getProbe(), refuted, nowNanos);
+      case ACK -> prober.onAck(from, sender, datagram.getAck(), nowNanos);
+      case INDIRECT -> prober.onIndirect(from, datagram.getIndirect(), nowNanos);
+      case NOTICE -> onNotice(from, datagram);
+      case STATUS_REQUEST -> queries.onRequest(from, datagram.getStatusRequest(), nowNanos);
+      case STATUS_REPLY -> queries.onReply(sender, datagram.getStatusReply());
+      case URGENT, BODY_NOT_SET -> {}
+    }
+    if (nowNanos - lastUrgentAt >= TICK.toNanos()) {
+      flushUrgent(nowNanos);
+    }
+  }
+
+  /** Takes the reply to a call, or null when the call failed. */
+  void onReply(long callId, Frame reply, long nowNanos) {
+    schedule.onReply(callId, reply, nowNanos);
+  }
+
+  /** Answers a state frame of another node; for any thread. */
+  Frame answer(Frame request, long nowNanos) {
+    return exchanges.answer(request, nowNanos);
+  }
+
+  /** Merges the records of a state frame that was answered. */
+  void mergeExchange(StateExchange exchange, long nowNanos) {
+    schedule.merge(exchange, nowNanos);
+  }
+
+  /** Announces the upstream or renews its announcement. */
+  void announce(ServiceId service, int slots, long startedAtNanos, long nowNanos) {
+    if (local.announce(service, slots, startedAtNanos, nowNanos)) {
+      fleet.localChanged();
+    }
+  }
+
+  /** Withdraws the upstream. */
+  void withdraw() {
+    if (local.withdraw()) {
+      fleet.localChanged();
+    }
+  }
+
+  /** Announces that the node leaves, at once and once more after a short time. */
+  void leave(long nowNanos) {
+    if (local.leave()) {
+      fleet.localChanged();
+      pushUrgent(List.of(local.record()), nowNanos);
+      leavingRepeatAt = nowNanos + settings.urgentRepeat().toNanos();
+    }
+  }
+
+  /** Announces that the node stopped. */
+  void left(long nowNanos) {
+    if (local.left()) {
+      fleet.localChanged();
+      pushUrgent(List.of(local.record()), nowNanos);
+    }
+  }
+
+  /** Sends a version notice to random nodes, half of them of the own data centre if possible. */
+  void sendNotices(VersionStamp stamp, int fanout, long nowNanos) {
+    VersionNotice notice = VersionNotice.newBuilder().setHeld(stamp.toMessage()).build();
+    List<NodeRecord> targets = new ArrayList<>(fanout);
+    targets.addAll(fleet.sampler().sample(fanout / 2, node -> accepts(node) && isNear(node)));
+    int others = fanout - targets.size();
+    targets.addAll(fleet.sampler().sample(others, node -> accepts(node) && !isNear(node)));
+    if (targets.size() < fanout) {
+      fleet.sampler().sample(fanout, SwimCore::accepts).stream()
+          .filter(node -> !targets.contains(node))
+          .limit((long) fanout - targets.size())
+          .forEach(targets::add);
+    }
+    for (NodeRecord target : targets) {
+      outbox.send(target.address(), outbox.datagram().setNotice(notice), List.of(), nowNanos);
+    }
+  }
+
+  /** Begins a status query and returns its id. */
+  long queryStatus(long nanos, long nowNanos) {
+    return queries.begin(nanos, nowNanos);
+  }
+
+  private void mergeUpdates(Datagram datagram, long nowNanos) {
+    for (NodeRecordMessage message : datagram.getUpdatesList()) {
+      NodeRecord record = codec.decode(message, nowNanos).orElse(null);
+      if (record == null) {
+        counters.increment(Counter.DROPPED_RECORDS);
+      } else {
+        fleet.merge(record, FleetState.Source.GOSSIP, nowNanos);
+      }
+    }
+  }
+
+  private void onNotice(InetSocketAddress from, Datagram datagram) {
+    VersionStamp noticed = VersionStamp.of(datagram.getNotice().getHeld());
+    if (!noticed.equals(VersionStamp.of(datagram.getHeld()))) {
+      heard(from, noticed);
+    }
+  }
+
+  private void heard(InetSocketAddress from, VersionStamp stamp) {
+    if (stamp.version() > 0) {
+      outbox.add(new SwimOutput.Heard(from, stamp));
+    }
+  }
+
+  /** After a pause, answers that wait in the socket must not count as missing. */
+  private void resume(long elapsed, long nowNanos) {
+    fleet.extendSuspicions(elapsed);
+    local.extendAnnouncement(elapsed);
+    prober.start(nowNanos);
+  }
+
+  private void flushUrgent(long nowNanos) {
+    if (fleet.hasUrgent()) {
+      pushUrgent(fleet.takeUrgent(URGENT_RECORDS), nowNanos);
+    }
+  }
+
+  private void pushUrgent(List<NodeRecord> records, long nowNanos) {
+    lastUrgentAt = nowNanos;
+    UrgentUpdates urgent = UrgentUpdates.getDefaultInstance();
+    for (NodeRecord target : fleet.sampler().sample(settings.fanout(), SwimCore::accepts)) {
+      outbox.send(target.address(), outbox.datagram().setUrgent(urgent), records, nowNanos);
+    }
+  }
+
+  private boolean isNear(NodeRecord node) {
+    return node.dataCentre().equals(local.record().dataCentre());
+  }
+
+  private static boolean accepts(NodeRecord node) {
+    return node.state().acceptsWork();
+  }
+}
