Tell suspected nodes of a suspicion directly

Change: each node that starts a suspicion period sends the suspected node one probe with the suspicion, at most one each tick; its answer carries the refutation. Tests of the core in a fake network with virtual time.

--- a/product/src/main/java/io/foxtaildoor/process/membership/FleetState.java
+++ b/product/src/main/java/io/foxtaildoor/process/membership/FleetState.java
@@ -28,8 +28,8 @@
     EXCHANGE
   }
 
-  /** Bounds the probes that one exchange can cause; other nodes verify the rest. */
-  private static final int MAX_VERIFICATIONS = 64;
+  /** Bounds the probes that one exchange or mass failure can cause; other nodes do the rest. */
+  private static final int MAX_VERIFICATIONS = 256;
 
   private final LocalNode local;
   private final MemberTable table;
@@ -157,6 +157,12 @@
     return true;
   }
 
+  /** Whether a suspicion period of the node is running. */
+  boolean isSuspected(NodeId id) {
+    Member member = table.find(id);
+    return member != null && member.isSuspected();
+  }
+
   /** Raises a suspicion after a failed probe of the local node. */
   void suspect(NodeId id, long nowNanos) {
     Member member = table.find(id);
@@ -294,9 +300,7 @@
     if (later) {
       replace(member, Records.withState(record, NodeState.ALIVE), nowNanos);
     }
-    if (verifications.size() < MAX_VERIFICATIONS) {
-      verifications.put(record.id(), record);
-    }
+    verify(record);
     return later;
   }
 
@@ -313,6 +317,8 @@
       queue.add(suspect);
     }
     member.setSuspectDeadline(suspicions.start(member.record().id(), nowNanos));
+    // The refutation of a suspicion that travels by gossip alone may need longer than the period.
+    verify(suspect);
   }
 
   private void markDead(Member member, long nowNanos) {
@@ -378,9 +384,15 @@
       replacedAtAddress(present.record().id(), nowNanos);
     } else if (difference < 0) {
       replacedAtAddress(added.record().id(), nowNanos);
-    } else if (verifications.size() < MAX_VERIFICATIONS) {
-      verifications.put(added.record().id(), added.record());
-      verifications.put(present.record().id(), present.record());
+    } else {
+      verify(added.record());
+      verify(present.record());
+    }
+  }
+
+  private void verify(NodeRecord told) {
+    if (verifications.size() < MAX_VERIFICATIONS) {
+      verifications.put(told.id(), told);
     }
   }
 }
--- a/product/src/main/java/io/foxtaildoor/process/membership/Prober.java
+++ b/product/src/main/java/io/foxtaildoor/process/membership/Prober.java
@@ -16,9 +16,6 @@
 
 /** Probes other nodes, directly and through others, and answers their probes. */
 final class Prober {
-  /** Probes in one period to verify what state exchanges said of live nodes. */
-  private static final int VERIFICATIONS_PER_PERIOD = 2;
-
   /** Bounds the probes made for others at the same time. */
   private static final int MAX_ATTEMPTS = 512;
 
@@ -29,6 +26,8 @@
   private enum Kind {
     /** A probe of a live node; a failure raises a suspicion. */
     LIVE,
+    /** A probe that tells a suspected node of the suspicion, so that it refutes at once. */
+    SUSPECTED,
     /** A probe of a dead node. */
     DEAD,
     /** A probe of a contact address whose node is not known. */
@@ -109,11 +108,9 @@
     checkAttempts(nowNanos);
     if (nowNanos - nextProbeAt >= 0) {
       nextProbeAt += settings.probePeriod().toNanos();
-      probeLive(fleet.sampler().nextInRound(), null, nowNanos);
-      for (int i = 0; i < VERIFICATIONS_PER_PERIOD; i++) {
-        verify(nowNanos);
-      }
+      probeLive(fleet.sampler().nextInRound(), nowNanos);
     }
+    verify(nowNanos);
     if (nowNanos - nextDeadProbeAt >= 0) {
       nextDeadProbeAt += settings.deadProbePeriod().toNanos();
       probeLost(nowNanos);
@@ -172,16 +169,20 @@
     }
   }
 
+  /** Probes one node at each tick, which bounds the load after a failure of many nodes. */
   private void verify(long nowNanos) {
     NodeRecord told = fleet.takeVerification();
-    if (told != null) {
-      probeLive(fleet.liveRecord(told.id()), told, nowNanos);
+    if (told == null) {
+      return;
     }
+    NodeRecord target = fleet.liveRecord(told.id());
+    Kind kind = fleet.isSuspected(told.id()) ? Kind.SUSPECTED : Kind.LIVE;
+    send(new Attempt(kind, target.address(), target, nowNanos), told, nowNanos);
   }
 
-  private void probeLive(NodeRecord target, NodeRecord told, long nowNanos) {
+  private void probeLive(NodeRecord target, long nowNanos) {
     if (target != null) {
-      send(new Attempt(Kind.LIVE, target.address(), target, nowNanos), told, nowNanos);
+      send(new Attempt(Kind.LIVE, target.address(), target, nowNanos), null, nowNanos);
     }
   }
 
--- /dev/null
+++ b/product/src/test/java/io/foxtaildoor/process/membership/FakeNetwork.java
@@ -0,0 +1,283 @@
+package io.foxtaildoor.process.membership;
+
+import io.foxtaildoor.common.DataCentreId;
+import io.foxtaildoor.common.Digest;
+import io.foxtaildoor.common.NodeId;
+import io.foxtaildoor.common.RegionId;
+import io.foxtaildoor.protocol.Datagram;
+import io.foxtaildoor.protocol.Frame;
+import io.foxtaildoor.version.manifest.VersionStamp;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.function.BiPredicate;
+import java.util.function.BooleanSupplier;
+
+/** A fleet of cores in one thread with virtual time and a seeded network. */
+final class FakeNetwork {
+  private static final long MILLISECOND = 1_000_000;
+  private static final int PORT = 7_000;
+  private static final Digest DIGEST = Digest.of(new byte[] {1});
+
+  /** A node of the fleet with what its callbacks received. */
+  static final class Node {
+    final SwimCore core;
+    final MembershipCounters counters = new MembershipCounters();
+    final List<VersionStamp> heard = new ArrayList<>();
+    final List<StatusAnswer> statusAnswers = new ArrayList<>();
+    final Map<NodeState, Integer> changes = new LinkedHashMap<>();
+    VersionStamp held = new VersionStamp(1, DIGEST);
+    boolean paused;
+    boolean joined;
+    boolean leavingPushed;
+    private final DatagramCodec codec;
+
+    Node(NodeRecord self, MembershipSettings settings, SplittableRandom random) {
+      NodeStatus status = new NodeStatus(new VersionStamp(1, DIGEST), 0, "", 0);
+      MembershipCallbacks callbacks =
+          new MembershipCallbacks(() -> held, (from, stamp) -> heard.add(stamp), () -> status);
+      core = new SwimCore(settings, self, callbacks, counters, random.split());
+      codec = new DatagramCodec(settings.cluster(), self.id(), counters);
+    }
+
+    InetSocketAddress address() {
+      return core.self().address();
+    }
+
+    NodeId id() {
+      return core.self().id();
+    }
+
+    NodeState stateOf(Node other) {
+      NodeRecord record = core.table().record(other.id());
+      return record == null ? null : record.state();
+    }
+
+    long live() {
+      return core.table().records().stream().filter(Records::isLive).count();
+    }
+  }
+
+  private record Event(long at, long order, InetSocketAddress to, Runnable action) {}
+
+  final Map<InetSocketAddress, Node> nodes = new LinkedHashMap<>();
+  double loss;
+  double duplication;
+  Duration maxDelay = Duration.ofMillis(5);
+  BiPredicate<InetSocketAddress, InetSocketAddress> blocked = (from, to) -> false;
+  long now = 1_000 * MILLISECOND;
+  long datagrams;
+  long bytes;
+  long updates;
+  long frameBytes;
+  private final MembershipSettings settings;
+  private final SplittableRandom random;
+  private final PriorityQueue<Event> events =
+      new PriorityQueue<>(Comparator.comparingLong(Event::at).thenComparingLong(Event::order));
+  private final Set<Event> held = new HashSet<>();
+  private long order;
+  private int started;
+
+  FakeNetwork(MembershipSettings settings, long seed) {
+    this.settings = settings;
+    this.random = new SplittableRandom(seed);
+  }
+
+  static NodeRecord record(String id, int host, long incarnation) {
+    byte[] address = {10, 0, (byte) (host >> 8), (byte) host};
+    try {
+      return new NodeRecord(
+          new NodeId(id),
+          new InetSocketAddress(InetAddress.getByAddress(address), PORT),
+          new RegionId("ke-central"),
+          new DataCentreId("ke-central-" + "abc".charAt(host % 3)),
+          incarnation,
+          NodeState.ALIVE,
+          Optional.empty());
+    } catch (UnknownHostException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  /** Starts a process on a host; one that runs there already disappears without notice. */
+  Node start(int host, long incarnation) {
+    NodeRecord self = record("node-" + host + "-" + started++, host, incarnation);
+    Node node = new Node(self, settings, random);
+    nodes.put(self.address(), node);
+    List<InetSocketAddress> contacts = new ArrayList<>();
+    for (int contact = 0; contact < 3; contact++) {
+      contacts.add(record("contact", contact, 1).address());
+    }
+    node.core.setContacts(contacts);
+    node.core.start(now);
+    return node;
+  }
+
+  /** Starts a fleet and runs it until all have joined and know each other. */
+  List<Node> startFleet(int size) {
+    List<Node> fleet = new ArrayList<>();
+    for (int host = 0; host < size; host++) {
+      fleet.add(start(host, 100));
+    }
+    return fleet;
+  }
+
+  void kill(Node node) {
+    nodes.remove(node.address(), node);
+  }
+
+  void resume(Node node) {
+    node.paused = false;
+    events.addAll(held);
+    held.clear();
+  }
+
+  /** Runs the fleet for a time. */
+  void run(Duration time) {
+    long end = now + time.toNanos();
+    while (now < end) {
+      now += SwimCore.TICK.toNanos();
+      deliver();
+      for (Node node : List.copyOf(nodes.values())) {
+        if (!node.paused) {
+          node.core.tick(now);
+          perform(node);
+        }
+      }
+    }
+  }
+
+  /** Runs the fleet until a condition holds and returns the time that it took. */
+  Duration runUntil(Duration limit, BooleanSupplier condition) {
+    long begin = now;
+    while (!condition.getAsBoolean()) {
+      if (now - begin > limit.toNanos()) {
+        throw new AssertionError("condition not reached in " + limit);
+      }
+      run(SwimCore.TICK);
+    }
+    return Duration.ofNanos(now - begin);
+  }
+
+  /** Whether every running node takes exactly the running nodes to be live. */
+  boolean converged() {
+    Set<NodeId> running = new HashSet<>();
+    nodes.values().forEach(node -> running.add(node.id()));
+    for (Node node : nodes.values()) {
+      Set<NodeId> live = new HashSet<>();
+      for (NodeRecord record : node.core.table().records()) {
+        if (Records.isLive(record)) {
+          live.add(record.id());
+        }
+      }
+      if (!live.equals(running)) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  /** Performs the outputs of a node. */
+  void perform(Node node) {
+    for (SwimOutput output : node.core.drain()) {
+      if (output instanceof SwimOutput.Send send) {
+        send(node, send);
+      } else if (output instanceof SwimOutput.Call call) {
+        call(node, call);
+      } else if (output instanceof SwimOutput.Changed changed) {
+        node.changes.merge(changed.record().state(), 1, Integer::sum);
+      } else if (output instanceof SwimOutput.Heard heard) {
+        node.heard.add(heard.stamp());
+      } else if (output instanceof SwimOutput.Joined) {
+        node.joined = true;
+      } else if (output instanceof SwimOutput.LeavingPushed) {
+        node.leavingPushed = true;
+      } else if (output instanceof SwimOutput.StatusFinished finished) {
+        node.statusAnswers.addAll(finished.answers());
+      }
+    }
+  }
+
+  private void send(Node from, SwimOutput.Send send) {
+    byte[] content = send.datagram().toByteArray();
+    datagrams++;
+    bytes += content.length;
+    updates += send.datagram().getUpdatesCount();
+    from.counters.increment(MembershipCounters.Counter.SENT_DATAGRAMS);
+    from.counters.add(MembershipCounters.Counter.SENT_BYTES, content.length);
+    int copies = random.nextDouble() < duplication ? 2 : 1;
+    for (int i = 0; i < copies; i++) {
+      if (random.nextDouble() >= loss && !blocked.test(from.address(), send.to())) {
+        schedule(send.to(), () -> receive(from.address(), send.to(), content));
+      }
+    }
+  }
+
+  private void receive(InetSocketAddress from, InetSocketAddress to, byte[] content) {
+    Node node = nodes.get(to);
+    if (node != null) {
+      Optional<Datagram> datagram = node.codec.decode(ByteBuffer.wrap(content));
+      datagram.ifPresent(accepted -> node.core.onDatagram(from, accepted, now));
+      perform(node);
+    }
+  }
+
+  private void call(Node from, SwimOutput.Call call) {
+    boolean fails = blocked.test(from.address(), call.to()) || !nodes.containsKey(call.to());
+    if (fails) {
+      schedule(from.address(), () -> from.core.onReply(call.callId(), null, now));
+      return;
+    }
+    frameBytes += call.request().getSerializedSize();
+    schedule(
+        call.to(),
+        () -> {
+          Node node = nodes.get(call.to());
+          if (node == null) {
+            return;
+          }
+          Frame reply = node.core.answer(call.request(), now);
+          frameBytes += reply.getSerializedSize();
+          if (call.request().hasStateExchange()) {
+            node.core.mergeExchange(call.request().getStateExchange(), now);
+          }
+          perform(node);
+          schedule(from.address(), () -> from.core.onReply(call.callId(), reply, now));
+        });
+  }
+
+  private void schedule(InetSocketAddress to, Runnable action) {
+    long delay = MILLISECOND / 2 + random.nextLong(maxDelay.toNanos());
+    events.add(new Event(now + delay, order++, to, action));
+  }
+
+  private void deliver() {
+    long step = now;
+    while (!events.isEmpty() && events.peek().at() <= step) {
+      Event event = events.poll();
+      Node node = nodes.get(event.to());
+      if (node != null && node.paused) {
+        held.add(event);
+      } else {
+        now = Math.max(event.at(), step - SwimCore.TICK.toNanos());
+        event.action().run();
+        if (node != null) {
+          perform(node);
+        }
+      }
+    }
+    now = step;
+  }
+}
--- /dev/null
+++ b/product/src/test/java/io/foxtaildoor/process/membership/SwimCoreTest.java
@@ -0,0 +1,265 @@
+package io.foxtaildoor.process.membership;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import io.foxtaildoor.common.ServiceId;
+import io.foxtaildoor.process.membership.FakeNetwork.Node;
+import io.foxtaildoor.process.membership.MembershipCounters.Counter;
+import io.foxtaildoor.protocol.StateExchange;
+import io.foxtaildoor.version.manifest.VersionStamp;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.testng.annotations.Test;
+
+/** Tests of {@link SwimCore} in a fleet with virtual time. */
+public class SwimCoreTest {
+  private static final ServiceId SERVICE = new ServiceId("bookings");
+  private static final Duration LIMIT = Duration.ofMinutes(10);
+
+  private static FakeNetwork network(long seed) {
+    return new FakeNetwork(MembershipSettings.defaults(), seed);
+  }
+
+  private static FakeNetwork joined(long seed, int size, List<Node> fleet) {
+    FakeNetwork network = network(seed);
+    fleet.addAll(network.startFleet(size));
+    network.runUntil(LIMIT, () -> network.converged() && fleet.stream().allMatch(n -> n.joined));
+    return network;
+  }
+
+  /** Failures of the network. */
+  public static final class Network {
+    /** Guards against live nodes that are lost, even for a moment, by ordinary loss. */
+    @Test
+    public void lossDuplicationAndReorderingLoseNoLiveNode() {
+      List<Node> fleet = new ArrayList<>();
+      FakeNetwork network = joined(1, 40, fleet);
+      network.loss = 0.05;
+      network.duplication = 0.1;
+      network.maxDelay = Duration.ofMillis(150);
+      network.run(Duration.ofMinutes(5));
+      for (Node node : fleet) {
+        assertFalse(node.changes.containsKey(NodeState.DEAD), node.id() + " " + node.changes);
+      }
+      assertTrue(network.converged());
+    }
+
+    /** Guards against sides that never find each other, or that declare own nodes dead. */
+    @Test
+    public void partitionHeals() {
+      List<Node> fleet = new ArrayList<>();
+      FakeNetwork network = joined(2, 40, fleet);
+      network.blocked = (from, to) -> side(from) != side(to);
+      network.run(Duration.ofMinutes(3));
+      assertEquals(fleet.get(0).live(), 20);
+      fleet.forEach(node -> node.changes.clear());
+      network.blocked = (from, to) -> false;
+      network.runUntil(Duration.ofMinutes(4), network::converged);
+      for (Node node : fleet) {
+        assertFalse(node.changes.containsKey(NodeState.DEAD), node.id() + " " + node.changes);
+      }
+    }
+
+    private static int side(InetSocketAddress address) {
+      return address.getAddress().getAddress()[3] % 2;
+    }
+  }
+
+  /** Failures of processes. */
+  public static final class Processes {
+    /** Guards against dead nodes that stay in the fleet or come back by exchange. */
+    @Test
+    public void killedNodesDisappearAndAreForgotten() {
+      List<Node> fleet = new ArrayList<>();
+      FakeNetwork network = joined(3, 30, fleet);
+      Node killed = fleet.get(7);
+      network.kill(killed);
+      network.runUntil(Duration.ofSeconds(60), network::converged);
+      network.run(Duration.ofMinutes(130));
+      for (Node node : network.nodes.values()) {
+        assertEquals(node.stateOf(killed), null);
+        assertEquals(node.live(), 29);
+      }
+    }
+
+    /** Guards against a paused node that stays dead, or that declares all others dead. */
+    @Test
+    public void pausedNodeReturns() {
+      List<Node> fleet = new ArrayList<>();
+      FakeNetwork network = joined(4, 30, fleet);
+      Node paused = fleet.get(9);
+      paused.paused = true;
+      network.runUntil(LIMIT, () -> fleet.get(1).stateOf(paused) == NodeState.DEAD);
+      network.run(Duration.ofSeconds(60));
+      network.resume(paused);
+      network.runUntil(Duration.ofSeconds(30), network::converged);
+      assertFalse(paused.changes.containsKey(NodeState.DEAD), paused.changes.toString());
+    }
+
+    /** Guards against joins that fail while many restart, and former ids that remain. */
+    @Test
+    public void herdRestartConverges() {
+      List<Node> fleet = new ArrayList<>();
+      FakeNetwork network = joined(5, 60, fleet);
+      for (int host = 0; host < 60; host += 2) {
+        network.start(host, 200);
+      }
+      network.runUntil(Duration.ofSeconds(60), network::converged);
+    }
+
+    /** Guards against a former process that stays live because its address answers. */
+    @Test
+    public void restartAtSameAddressReplacesFormer() {
+      List<Node> fleet = new ArrayList<>();
+      FakeNetwork network = joined(6, 30, fleet);
+      Node former = fleet.get(11);
+      Node present = network.start(11, 200);
+      network.runUntil(Duration.ofSeconds(10), network::converged);
+      for (Node node : network.nodes.values()) {
+        assertTrue(node == present || node.stateOf(former) == NodeState.DEAD);
+      }
+    }
+
+    /** Guards against a new process that loses to its former one after the clock was set back. */
+    @Test
+    public void restartWithLowerIncarnationReplacesFormer() {
+      List<Node> fleet = new ArrayList<>();
+      FakeNetwork network = joined(7, 30, fleet);
+      Node former = fleet.get(12);
+      network.start(12, 50);
+      network.runUntil(Duration.ofSeconds(30), network::converged);
+      assertEquals(fleet.get(3).stateOf(former), NodeState.DEAD);
+    }
+  }
+
+  /** Planned changes of a node. */
+  public static final class Changes {
+    /** Guards against new work for a leaving node, and against an incomplete push. */
+    @Test
+    public void leavingIsKnownToAllWithinTwoSeconds() {
+      List<Node> fleet = new ArrayList<>();
+      FakeNetwork network = joined(8, 100, fleet);
+      network.loss = 0.05;
+      Node leaving = fleet.get(20);
+      leaving.core.announce(SERVICE, 9, network.now, network.now);
+      network.run(Duration.ofSeconds(5));
+      leaving.core.leave(network.now);
+      network.perform(leaving);
+      network.run(Duration.ofSeconds(2));
+      assertTrue(leaving.leavingPushed);
+      for (Node node : fleet) {
+        assertEquals(node.stateOf(leaving), NodeState.LEAVING);
+        assertTrue(node.core.index().find(SERVICE).isEmpty());
+      }
+      leaving.core.left(network.now);
+      network.perform(leaving);
+      network.kill(leaving);
+      network.runUntil(Duration.ofSeconds(60), network::converged);
+      network.run(Duration.ofMinutes(15));
+      assertEquals(fleet.get(1).stateOf(leaving), null);
+    }
+
+    /** Guards against a suspicion that cancels an announced leave. */
+    @Test
+    public void crossedLeaveAndSuspicionEndsAsLeaving() {
+      List<Node> fleet = new ArrayList<>();
+      FakeNetwork network = joined(9, 20, fleet);
+      Node leaving = fleet.get(5);
+      network.blocked = (from, to) -> to.equals(leaving.address());
+      network.runUntil(LIMIT, () -> fleet.get(1).stateOf(leaving) == NodeState.SUSPECT);
+      leaving.core.leave(network.now);
+      network.perform(leaving);
+      network.blocked = (from, to) -> false;
+      network.run(Duration.ofSeconds(10));
+      for (Node node : fleet) {
+        assertEquals(node.stateOf(leaving), NodeState.LEAVING);
+      }
+    }
+
+    /** Guards against announcements that expire although renewed, or never expire. */
+    @Test
+    public void announcementLivesByRenewal() {
+      List<Node> fleet = new ArrayList<>();
+      FakeNetwork network = joined(10, 10, fleet);
+      Node node = fleet.get(4);
+      for (int i = 0; i < 10; i++) {
+        node.core.announce(SERVICE, 9, network.now, network.now);
+        network.run(Duration.ofSeconds(2));
+      }
+      List<NodeRecord> found = fleet.get(0).core.index().find(SERVICE);
+      assertEquals(found.size(), 1);
+      assertEquals(found.get(0).upstream().orElseThrow().slots(), 9);
+      network.run(Duration.ofSeconds(20));
+      assertTrue(fleet.get(0).core.index().find(SERVICE).isEmpty());
+    }
+
+    /** Guards against an update that an older record undoes. */
+    @Test
+    public void olderRecordNeverReplacesNewer() {
+      List<Node> fleet = new ArrayList<>();
+      FakeNetwork network = joined(11, 5, fleet);
+      Node node = fleet.get(2);
+      NodeRecord old = node.core.self();
+      node.core.announce(SERVICE, 9, network.now, network.now);
+      network.run(Duration.ofSeconds(5));
+      RecordCodec codec = new RecordCodec();
+      for (NodeState state : NodeState.values()) {
+        NodeRecord stale = Records.withState(old, state);
+        fleet
+            .get(0)
+            .core
+            .mergeExchange(
+                StateExchange.newBuilder().addRecords(codec.encode(stale, network.now)).build(),
+                network.now);
+        assertEquals(fleet.get(0).core.index().find(SERVICE).size(), 1, state.toString());
+      }
+    }
+  }
+
+  /** Version notices and status queries. */
+  public static final class Queries {
+    /** Guards against answers that are lost or given to the wrong node in a status query. */
+    @Test
+    public void statusQueryNamesEveryNode() {
+      List<Node> fleet = new ArrayList<>();
+      FakeNetwork network = joined(12, 50, fleet);
+      network.kill(fleet.get(30));
+      fleet.get(3).core.queryStatus(Duration.ofSeconds(2).toNanos(), network.now);
+      network.run(Duration.ofSeconds(3));
+      List<StatusAnswer> answers = fleet.get(3).statusAnswers;
+      assertEquals(answers.size(), 50);
+      for (StatusAnswer answer : answers) {
+        boolean killed = answer.node().id().equals(fleet.get(30).id());
+        assertEquals(answer.status().isEmpty(), killed, answer.node().id().toString());
+      }
+    }
+
+    /** Guards against notices that reach too few nodes or lose their version. */
+    @Test
+    public void noticesReachDistinctNodes() {
+      List<Node> fleet = new ArrayList<>();
+      FakeNetwork network = joined(13, 50, fleet);
+      VersionStamp stamp = new VersionStamp(7, VersionStamp.NONE.digest());
+      fleet.get(0).core.sendNotices(stamp, 4, network.now);
+      network.perform(fleet.get(0));
+      network.run(Duration.ofMillis(40));
+      assertEquals(fleet.stream().filter(node -> node.heard.contains(stamp)).count(), 4);
+    }
+
+    /** Guards against a steady state that exceeds the byte budget of 3 KB/s. */
+    @Test
+    public void restIsCheap() {
+      List<Node> fleet = new ArrayList<>();
+      FakeNetwork network = joined(14, 50, fleet);
+      network.run(Duration.ofMinutes(2));
+      long before = fleet.get(8).counters.value(Counter.SENT_BYTES);
+      network.run(Duration.ofSeconds(100));
+      long perSecond = (fleet.get(8).counters.value(Counter.SENT_BYTES) - before) / 100;
+      assertTrue(perSecond < 500, perSecond + " bytes/s");
+    }
+  }
+}
--- /dev/null
+++ b/product/src/test/java/io/foxtaildoor/process/membership/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of membership. */
+package io.foxtaildoor.process.membership;
