--- /dev/null
+++ b/product/src/test/java/io/foxtaildoor/process/membership/DatagramCodecTest.java
@@ -0,0 +1,150 @@
+package io.foxtaildoor.process.membership;
+
+import static org.testng.Assert.assertEquals;
+
+import com.google.protobuf.ByteString;
+import io.foxtaildoor.common.NodeId;
+import io.foxtaildoor.process.membership.MembershipCounters.Counter;
+import io.foxtaildoor.protocol.Announcement;
+import io.foxtaildoor.protocol.Datagram;
+import io.foxtaildoor.protocol.NodeRecordMessage;
+import io.foxtaildoor.protocol.Probe;
+import io.foxtaildoor.protocol.UrgentUpdates;
+import java.nio.ByteBuffer;
+import java.util.Arrays;
+import java.util.SplittableRandom;
+import java.util.function.UnaryOperator;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests of {@link DatagramCodec} and {@link RecordCodec} with malformed input. */
+public class DatagramCodecTest {
+  private static final long NOW = 1_000_000_000L;
+
+  private static Datagram.Builder valid() {
+    return Datagram.newBuilder()
+        .setProtocolVersion(DatagramCodec.PROTOCOL_VERSION)
+        .setCluster("foxtaildoor")
+        .setSender("node-2")
+        .setSenderIncarnation(3)
+        .setProbe(Probe.newBuilder().setSequence(9).setTarget("node-1"));
+  }
+
+  private static NodeRecordMessage.Builder validRecord() {
+    return new RecordCodec().encode(FakeNetwork.record("node-2", 2, 3), NOW).toBuilder();
+  }
+
+  /** Whole datagrams. */
+  public static final class Datagrams {
+    /** Datagrams with the counter that each must raise. */
+    @DataProvider
+    public Object[][] dropped() {
+      return new Object[][] {
+        {"empty", new byte[0], Counter.DROPPED_MALFORMED},
+        {"no body", valid().clearBody().build().toByteArray(), Counter.DROPPED_MALFORMED},
+        {"truncated", truncated(), Counter.DROPPED_MALFORMED},
+        {"no sender", valid().clearSender().build().toByteArray(), Counter.DROPPED_MALFORMED},
+        {"bad sender", valid().setSender("A B").build().toByteArray(), Counter.DROPPED_MALFORMED},
+        {"own id", valid().setSender("node-1").build().toByteArray(), Counter.DROPPED_MALFORMED},
+        {
+          "negative incarnation",
+          valid().setSenderIncarnation(-1).build().toByteArray(),
+          Counter.DROPPED_MALFORMED
+        },
+        {"other cluster", valid().setCluster("x").build().toByteArray(), Counter.DROPPED_FOREIGN},
+        {
+          "other version",
+          valid().setProtocolVersion(2).build().toByteArray(),
+          Counter.DROPPED_PROTOCOL
+        },
+      };
+    }
+
+    private static byte[] truncated() {
+      byte[] whole = valid().build().toByteArray();
+      return Arrays.copyOf(whole, whole.length - 3);
+    }
+
+    /** Guards against foreign or damaged datagrams that reach the protocol. */
+    @Test(dataProvider = "dropped")
+    public void countsAndDrops(String name, byte[] bytes, Counter counter) {
+      MembershipCounters counters = new MembershipCounters();
+      DatagramCodec codec = new DatagramCodec("foxtaildoor", new NodeId("node-1"), counters);
+      assertEquals(codec.decode(ByteBuffer.wrap(bytes)).isPresent(), false, name);
+      assertEquals(counters.value(counter), 1, name);
+      assertEquals(counters.value(Counter.RECEIVED_DATAGRAMS), 1);
+    }
+
+    /** Guards against a check that drops what is valid. */
+    @Test
+    public void acceptsValid() {
+      MembershipCounters counters = new MembershipCounters();
+      DatagramCodec codec = new DatagramCodec("foxtaildoor", new NodeId("node-1"), counters);
+      Datagram sent = valid().build();
+      assertEquals(codec.decode(ByteBuffer.wrap(sent.toByteArray())).orElseThrow(), sent);
+    }
+
+    /** Guards against an exception other than the handled one for arbitrary bytes. */
+    @Test
+    public void randomAndMutatedBytesNeverThrow() {
+      SplittableRandom random = new SplittableRandom(42);
+      FakeNetwork network = new FakeNetwork(MembershipSettings.defaults(), 42);
+      FakeNetwork.Node node = network.start(1, 3);
+      DatagramCodec codec = new DatagramCodec("foxtaildoor", node.id(), node.counters);
+      byte[] base = valid().addUpdates(validRecord()).build().toByteArray();
+      for (int i = 0; i < 20_000; i++) {
+        byte[] bytes = i % 2 == 0 ? new byte[random.nextInt(300)] : base.clone();
+        if (i % 2 == 0) {
+          random.nextBytes(bytes);
+        } else {
+          bytes[random.nextInt(bytes.length)] = (byte) random.nextInt();
+        }
+        codec
+            .decode(ByteBuffer.wrap(bytes))
+            .ifPresent(accepted -> node.core.onDatagram(node.address(), accepted, network.now));
+      }
+      assertEquals(node.counters.value(Counter.RECEIVED_DATAGRAMS), 20_000);
+    }
+  }
+
+  /** Records inside datagrams. */
+  public static final class NodeRecords {
+    /** Changes that make a record invalid. */
+    @DataProvider
+    public Object[][] invalid() {
+      return new Object[][] {
+        row("id", record -> record.setNodeId("")),
+        row("address", record -> record.setAddress(ByteString.copyFrom(new byte[5]))),
+        row("port 0", record -> record.setPeerPort(0)),
+        row("port", record -> record.setPeerPort(70_000)),
+        row("region", record -> record.setRegion("UPPER")),
+        row("data centre", record -> record.setDataCentre("")),
+        row("incarnation", record -> record.setIncarnation(Long.MAX_VALUE)),
+        row("negative incarnation", record -> record.setIncarnation(-5)),
+        row("state", record -> record.setStateValue(77)),
+        row("slots", record -> record.setAnnouncement(Announcement.newBuilder().setService("s"))),
+        row("service", record -> record.setAnnouncement(Announcement.newBuilder().setSlots(1))),
+      };
+    }
+
+    private static Object[] row(String name, UnaryOperator<NodeRecordMessage.Builder> change) {
+      return new Object[] {name, change.apply(validRecord()).build()};
+    }
+
+    /** Guards against an invalid record that enters the table, or hides the valid ones. */
+    @Test(dataProvider = "invalid")
+    public void invalidRecordIsDroppedAlone(String name, NodeRecordMessage invalid) {
+      FakeNetwork network = new FakeNetwork(MembershipSettings.defaults(), 1);
+      FakeNetwork.Node node = network.start(1, 3);
+      Datagram datagram =
+          valid()
+              .setUrgent(UrgentUpdates.getDefaultInstance())
+              .addUpdates(invalid)
+              .addUpdates(validRecord().setNodeId("node-3"))
+              .build();
+      node.core.onDatagram(FakeNetwork.record("node-2", 2, 3).address(), datagram, NOW);
+      assertEquals(node.core.table().records().size(), 2, name);
+      assertEquals(node.counters.value(Counter.DROPPED_RECORDS), 1, name);
+    }
+  }
+}
--- a/product/src/test/java/io/foxtaildoor/process/membership/FakeNetwork.java
+++ b/product/src/test/java/io/foxtaildoor/process/membership/FakeNetwork.java
@@ -29,6 +29,7 @@
 final class FakeNetwork {
   private static final long MILLISECOND = 1_000_000;
   private static final int PORT = 7_000;
+  private static final int MAX_DATAGRAM_BYTES = 1_400;
   private static final Digest DIGEST = Digest.of(new byte[] {1});
 
   /** A node of the fleet with what its callbacks received. */
@@ -212,6 +213,10 @@
 
   private void send(Node from, SwimOutput.Send send) {
     byte[] content = send.datagram().toByteArray();
+    // Guards against datagrams that are fragmented: 1,000 bytes of updates and the rest.
+    if (content.length > MAX_DATAGRAM_BYTES) {
+      throw new AssertionError(content.length + " bytes in " + send.datagram().getBodyCase());
+    }
     datagrams++;
     bytes += content.length;
     updates += send.datagram().getUpdatesCount();
--- /dev/null
+++ b/product/src/test/java/io/foxtaildoor/process/membership/StateExchangesTest.java
@@ -0,0 +1,76 @@
+package io.foxtaildoor.process.membership;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import io.foxtaildoor.protocol.Frame;
+import io.foxtaildoor.protocol.GoAway;
+import io.foxtaildoor.protocol.StateDigest;
+import io.foxtaildoor.protocol.StateExchange;
+import java.util.List;
+import java.util.stream.IntStream;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests of {@link StateExchanges}. */
+public class StateExchangesTest {
+  private static final int FRAME_LIMIT = 1 << 20;
+
+  private static StateExchanges exchanges(MemberTable table) {
+    return new StateExchanges(table, new RecordCodec());
+  }
+
+  private static MemberTable table(int nodes) {
+    MemberTable table = new MemberTable();
+    IntStream.range(0, nodes)
+        .forEach(host -> table.add(FakeNetwork.record("node-with-a-long-id-" + host, host, 1)));
+    return table;
+  }
+
+  /** Frames that no correct node sends. */
+  @DataProvider
+  public Object[][] invalid() {
+    return new Object[][] {
+      {Frame.getDefaultInstance()},
+      {Frame.newBuilder().setGoAway(GoAway.getDefaultInstance()).build()},
+      {
+        Frame.newBuilder().setStateDigest(StateDigest.newBuilder().addBucketHashes(1)).build(),
+      },
+      {Frame.newBuilder().setStateExchange(StateExchange.newBuilder().addBuckets(256)).build()},
+      {Frame.newBuilder().setStateExchange(StateExchange.newBuilder().addBuckets(-1)).build()},
+    };
+  }
+
+  /** Guards against an exception in the connection that carries a malformed frame. */
+  @Test(dataProvider = "invalid")
+  public void invalidFramesGetAnError(Frame request) {
+    assertTrue(exchanges(table(3)).answer(request, 0).hasError());
+  }
+
+  /** Guards against a digest that depends on the order in which records arrived. */
+  @Test
+  public void equalTablesHaveEqualDigests() {
+    MemberTable forward = table(500);
+    MemberTable backward = new MemberTable();
+    List<NodeRecord> records = forward.records();
+    for (int i = records.size() - 1; i >= 0; i--) {
+      backward.add(records.get(i));
+    }
+    backward.add(FakeNetwork.record("removed", 600, 1));
+    backward.remove(FakeNetwork.record("removed", 600, 1).id());
+    Frame reply = exchanges(backward).answer(exchanges(forward).digest(), 0);
+    assertEquals(reply.getStateDigest().getBucketHashesCount(), 0);
+  }
+
+  /** Guards against frames above the limit of the link when a peer asks for everything. */
+  @Test
+  public void replyStaysBelowFrameLimit() {
+    StateExchange.Builder all = StateExchange.newBuilder();
+    IntStream.range(0, MemberTable.BUCKETS).forEach(all::addBuckets);
+    Frame request = Frame.newBuilder().setStateExchange(all).build();
+    Frame reply = exchanges(table(20_000)).answer(request, 0);
+    assertTrue(reply.getSerializedSize() < FRAME_LIMIT);
+    assertTrue(reply.getStateExchange().getBucketsCount() > 0);
+    assertTrue(reply.getStateExchange().getBucketsCount() < MemberTable.BUCKETS);
+  }
+}
