--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/version/questionnaire/FieldReader.java
@@ -0,0 +1,148 @@
+package io.foxtaildoor.version.questionnaire;
+
+import io.foxtaildoor.version.questionnaire.YamlNode.Mapping;
+import io.foxtaildoor.version.questionnaire.YamlNode.Member;
+import io.foxtaildoor.version.questionnaire.YamlNode.Scalar;
+import io.foxtaildoor.version.questionnaire.YamlNode.ScalarType;
+import io.foxtaildoor.version.questionnaire.YamlNode.Sequence;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.BiFunction;
+
+/**
+ * Reads the keys of one mapping. Every fault is added to the problems and gives an empty result, so
+ * that reading goes on with the next key.
+ */
+final class FieldReader {
+  /**
+   * Reads a value at a path; gives nothing after it has reported a problem.
+   *
+   * @param <T> what the value means
+   */
+  @FunctionalInterface
+  interface ValueReader<T> {
+    Optional<T> read(YamlNode node, String path, ProblemList problems);
+  }
+
+  private final String path;
+  private final int line;
+  private final ProblemList problems;
+  private final Map<String, YamlNode> values;
+
+  private FieldReader(String path, int line, ProblemList problems, Map<String, YamlNode> values) {
+    this.path = path;
+    this.line = line;
+    this.problems = problems;
+    this.values = values;
+  }
+
+  /** Opens a mapping and reports its unknown and duplicate keys. */
+  static Optional<FieldReader> open(
+      YamlNode node, String path, Set<String> known, ProblemList problems) {
+    if (!(node instanceof Mapping mapping)) {
+      wrongType(node, path, "a mapping", problems);
+      return Optional.empty();
+    }
+    Map<String, YamlNode> values = new HashMap<>();
+    for (Member member : mapping.members()) {
+      String child = Texts.child(path, member.key());
+      if (!known.contains(member.key())) {
+        String message = "unknown key; allowed are " + new TreeSet<>(known);
+        problems.add(ProblemKind.UNKNOWN_KEY, child, member.line(), message);
+      } else if (values.putIfAbsent(member.key(), member.value()) != null) {
+        problems.add(ProblemKind.DUPLICATE_KEY, child, member.line(), "the key occurs twice");
+      }
+    }
+    return Optional.of(new FieldReader(path, mapping.line(), problems, values));
+  }
+
+  static void wrongType(YamlNode node, String path, String wanted, ProblemList problems) {
+    String message = "must be " + wanted + ", not " + node.typeName();
+    problems.add(ProblemKind.WRONG_TYPE, path, node, message);
+  }
+
+  /** The path of a key of this mapping. */
+  String pathOf(String key) {
+    return Texts.child(path, key);
+  }
+
+  /** The line of a key's value, or of the mapping when the key is absent. */
+  int lineOf(String key) {
+    YamlNode node = values.get(key);
+    return node == null ? line : node.line();
+  }
+
+  /** The line of an element of a key's list, or of the key's value when it is no such list. */
+  int itemLine(String key, int index) {
+    if (values.get(key) instanceof Sequence sequence && index < sequence.items().size()) {
+      return sequence.items().get(index).line();
+    }
+    return lineOf(key);
+  }
+
+  /** Reads a key that must be present. */
+  <T> Optional<T> required(String key, ValueReader<T> reader) {
+    YamlNode node = values.get(key);
+    if (node == null) {
+      problems.add(ProblemKind.MISSING_KEY, pathOf(key), line, "the key is required");
+      return Optional.empty();
+    }
+    return reader.read(node, pathOf(key), problems);
+  }
+
+  /** Reads a key that has a default. */
+  <T> Optional<T> optional(String key, T defaultValue, ValueReader<T> reader) {
+    YamlNode node = values.get(key);
+    return node == null ? Optional.of(defaultValue) : reader.read(node, pathOf(key), problems);
+  }
+
+  /** Reads a list of at most a number of elements; elements with problems are left out. */
+  static <T> ValueReader<List<T>> list(int max, ValueReader<T> reader) {
+    return (node, path, problems) -> {
+      if (!(node instanceof Sequence sequence)) {
+        wrongType(node, path, "a list", problems);
+        return Optional.empty();
+      }
+      if (sequence.items().size() > max) {
+        problems.add(ProblemKind.TOO_LARGE, path, node, "more than " + max + " elements");
+        return Optional.empty();
+      }
+      List<T> elements = new ArrayList<>();
+      for (int i = 0; i < sequence.items().size(); i++) {
+        reader
+            .read(sequence.items().get(i), Texts.item(path, i), problems)
+            .ifPresent(elements::add);
+      }
+      return Optional.of(elements);
+    };
+  }
+
+  /** Reads a scalar of a type; the function gets its text and may report a problem. */
+  static <T> ValueReader<T> scalar(
+      ScalarType type, String wanted, BiFunction<String, Reporter, Optional<T>> function) {
+    return (node, path, problems) -> {
+      if (node instanceof Scalar scalar && scalar.type() == type) {
+        return function.apply(scalar.text(), (kind, m) -> problems.add(kind, path, node, m));
+      }
+      wrongType(node, path, wanted, problems);
+      return Optional.empty();
+    };
+  }
+
+  /** Reports a problem at the place of the value that is read. */
+  @FunctionalInterface
+  interface Reporter {
+    void report(ProblemKind kind, String message);
+
+    /** Reports a problem and gives nothing. */
+    default <T> Optional<T> reject(ProblemKind kind, String message) {
+      report(kind, message);
+      return Optional.empty();
+    }
+  }
+}
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/version/questionnaire/Limits.java
@@ -0,0 +1,40 @@
+package io.foxtaildoor.version.questionnaire;
+
+import java.time.Duration;
+import java.util.Set;
+
+/** Ranges and defaults of the answers; docs/questionnaire.md lists them for members. */
+final class Limits {
+  /**
+   * Largest document in characters. A service or kind of work needs about 300, so this is several
+   * hundred of them, and the configuration generated stays below the platform's value limit.
+   */
+  static final int MAX_DOCUMENT_CHARS = 256 * 1024;
+
+  static final int MAX_SERVICES = 200;
+  static final int MAX_WORK = 1_000;
+  static final int MAX_CALLERS = 1_000;
+  static final int MAX_SLOTS = 10_000;
+  static final int MAX_CONNECTIONS = 100_000;
+  static final Duration MAX_COLD_START = Duration.ofMinutes(10);
+  static final Duration DEFAULT_COLD_START = Duration.ZERO;
+
+  /** Keeps a tenth of the slots for whatever rank needs them. */
+  static final int MAX_RESERVED_PERCENT = 90;
+
+  static final Duration MIN_DEADLINE = Duration.ofMillis(1);
+  static final Duration MAX_DEADLINE = Duration.ofMinutes(10);
+  static final long MAX_BODY_BYTES = 1L << 30;
+  static final long DEFAULT_BODY_BYTES = 1L << 20;
+
+  /** Longest host name in DNS. */
+  static final int MAX_HOST_CHARS = 253;
+
+  static final int MAX_PATH_CHARS = 512;
+
+  /** Methods that a proxy passes on; CONNECT and TRACE are not among them. */
+  static final Set<String> METHODS =
+      Set.of("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS");
+
+  private Limits() {}
+}
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/version/questionnaire/Places.java
@@ -0,0 +1,42 @@
+package io.foxtaildoor.version.questionnaire;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/** Line numbers of the values of a document by their paths. */
+public final class Places {
+  /** Places of a document without text. */
+  public static final Places NONE = new Places(Map.of());
+
+  private final Map<String, Integer> lines;
+
+  private Places(Map<String, Integer> lines) {
+    this.lines = lines;
+  }
+
+  static Places of(YamlNode root) {
+    Map<String, Integer> lines = new HashMap<>();
+    collect("", root, lines);
+    return new Places(lines);
+  }
+
+  private static void collect(String path, YamlNode node, Map<String, Integer> lines) {
+    lines.putIfAbsent(path, node.line());
+    if (node instanceof YamlNode.Mapping mapping) {
+      for (YamlNode.Member member : mapping.members()) {
+        String child = Texts.child(path, member.key());
+        lines.putIfAbsent(child, member.line());
+        collect(child, member.value(), lines);
+      }
+    } else if (node instanceof YamlNode.Sequence sequence) {
+      for (int i = 0; i < sequence.items().size(); i++) {
+        collect(Texts.item(path, i), sequence.items().get(i), lines);
+      }
+    }
+  }
+
+  /** The line of a path, or {@link Problem#NO_LINE}. */
+  public int line(String path) {
+    return lines.getOrDefault(path, Problem.NO_LINE);
+  }
+}
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/version/questionnaire/ProblemList.java
@@ -0,0 +1,41 @@
+package io.foxtaildoor.version.questionnaire;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+
+/** Collects problems up to a limit and counts the rest. */
+final class ProblemList {
+  /** Keeps the answer to a hostile document small; a real one has far fewer faults. */
+  static final int MAX_PROBLEMS = 1_000;
+
+  private final List<Problem> problems = new ArrayList<>();
+  private int omitted;
+
+  void add(ProblemKind kind, String path, int line, String message) {
+    if (problems.size() < MAX_PROBLEMS) {
+      problems.add(new Problem(kind, path, line, message));
+    } else {
+      omitted++;
+    }
+  }
+
+  void add(ProblemKind kind, String path, YamlNode node, String message) {
+    add(kind, path, node.line(), message);
+  }
+
+  boolean isEmpty() {
+    return problems.isEmpty();
+  }
+
+  /** Returns the problems in the order of lines. */
+  List<Problem> toList() {
+    List<Problem> sorted = new ArrayList<>(problems);
+    sorted.sort(Comparator.comparingInt(Problem::line));
+    if (omitted > 0) {
+      String message = omitted + " more problems are left out";
+      sorted.add(new Problem(ProblemKind.TOO_LARGE, "", Problem.NO_LINE, message));
+    }
+    return List.copyOf(sorted);
+  }
+}
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/version/questionnaire/QuestionnaireReader.java
@@ -0,0 +1,61 @@
+package io.foxtaildoor.version.questionnaire;
+
+import static io.foxtaildoor.version.questionnaire.FieldReader.list;
+
+import io.foxtaildoor.common.MemberId;
+import io.foxtaildoor.common.TeamId;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+/** Reads the YAML text of a questionnaire and reports all of its faults in one run. */
+public final class QuestionnaireReader {
+  private static final Set<String> KEYS = Set.of("member", "team", "services", "work");
+
+  private QuestionnaireReader() {}
+
+  /** Reads a document; never throws for bad input. */
+  public static ReadResult read(String document) {
+    ProblemList problems = new ProblemList();
+    if (document.length() > Limits.MAX_DOCUMENT_CHARS) {
+      String message =
+          "the document has "
+              + document.length()
+              + " characters, at most "
+              + Limits.MAX_DOCUMENT_CHARS
+              + " are allowed";
+      problems.add(ProblemKind.TOO_LARGE, "", Problem.NO_LINE, message);
+      return new ReadResult.Invalid(problems.toList());
+    }
+    Optional<YamlNode> root = YamlTreeReader.read(document, problems);
+    Optional<Questionnaire> questionnaire = root.flatMap(node -> questionnaire(node, problems));
+    if (questionnaire.isPresent() && problems.isEmpty()) {
+      return new ReadResult.Valid(questionnaire.get(), Places.of(root.get()));
+    }
+    return new ReadResult.Invalid(problems.toList());
+  }
+
+  private static Optional<Questionnaire> questionnaire(YamlNode root, ProblemList problems) {
+    return FieldReader.open(root, "", KEYS, problems).flatMap(fields -> answers(fields, problems));
+  }
+
+  private static Optional<Questionnaire> answers(FieldReader fields, ProblemList problems) {
+    Optional<MemberId> member = fields.required("member", Values.id(MemberId::new));
+    Optional<TeamId> team = fields.required("team", Values.id(TeamId::new));
+    // Both lists are required, so that a forgotten one does not remove what is accepted.
+    Optional<List<ServiceAnswer>> services =
+        fields.required(
+            "services", list(Limits.MAX_SERVICES, new ServiceAnswerReader(new HashSet<>())));
+    Optional<List<WorkAnswer>> work =
+        fields.required("work", list(Limits.MAX_WORK, new WorkAnswerReader(new HashSet<>())));
+    if (!problems.isEmpty()) {
+      return Optional.empty();
+    }
+    Questionnaire questionnaire =
+        new Questionnaire(
+            member.orElseThrow(), team.orElseThrow(), services.orElseThrow(), work.orElseThrow());
+    RouteConflicts.within(questionnaire.work(), fields, problems);
+    return Optional.of(questionnaire);
+  }
+}
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/version/questionnaire/Values.java
@@ -0,0 +1,203 @@
+package io.foxtaildoor.version.questionnaire;
+
+import static io.foxtaildoor.version.questionnaire.FieldReader.scalar;
+
+import io.foxtaildoor.common.FoxtaildoorException;
+import io.foxtaildoor.common.Rank;
+import io.foxtaildoor.common.ServiceId;
+import io.foxtaildoor.version.questionnaire.FieldReader.Reporter;
+import io.foxtaildoor.version.questionnaire.FieldReader.ValueReader;
+import io.foxtaildoor.version.questionnaire.YamlNode.ScalarType;
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeSet;
+import java.util.function.Function;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** Readers of the kinds of values that a questionnaire has. */
+final class Values {
+  private static final Pattern INTEGER = Pattern.compile("0|-?[1-9][0-9]{0,9}");
+  private static final Pattern AMOUNT = Pattern.compile("(0|[1-9][0-9]{0,9})([A-Za-z]+)");
+  private static final Pattern HOST =
+      Pattern.compile("[a-z0-9]([a-z0-9-]*[a-z0-9])?(\\.[a-z0-9]([a-z0-9-]*[a-z0-9])?)*");
+  private static final Pattern PATH = Pattern.compile("/[A-Za-z0-9._~!$&'()*+,;=:@%/-]*");
+  private static final Pattern ESCAPES = Pattern.compile("([^%]|%[0-9A-Fa-f]{2})*");
+  private static final Pattern DOT_SEGMENT = Pattern.compile("(.*/)?\\.\\.?(/.*)?");
+
+  private static final Map<String, Long> MILLIS_BY_UNIT =
+      Map.of("ms", 1L, "s", 1_000L, "m", 60_000L);
+  private static final Map<String, Long> BYTES_BY_UNIT =
+      Map.of("B", 1L, "KiB", 1L << 10, "MiB", 1L << 20, "GiB", 1L << 30);
+
+  private Values() {}
+
+  /** An id that a constructor checks. */
+  static <T> ValueReader<T> id(Function<String, T> constructor) {
+    return scalar(
+        ScalarType.TEXT,
+        "a text (put an id of digits in quotation marks)",
+        (text, reporter) -> parseId(text, constructor, reporter));
+  }
+
+  private static <T> Optional<T> parseId(
+      String text, Function<String, T> constructor, Reporter reporter) {
+    try {
+      return Optional.of(constructor.apply(text));
+    } catch (FoxtaildoorException e) {
+      return reporter.reject(
+          ProblemKind.MALFORMED_ID,
+          Texts.quote(text)
+              + " must have 1 to 63 lower-case letters, digits, dots or hyphens"
+              + " and begin and end with a letter or digit");
+    }
+  }
+
+  /** A caller: a service id or {@code *}. */
+  static ValueReader<String> caller(String any) {
+    ValueReader<ServiceId> id = id(ServiceId::new);
+    return (node, path, problems) -> {
+      if (node instanceof YamlNode.Scalar scalar
+          && scalar.type() == ScalarType.TEXT
+          && scalar.text().equals(any)) {
+        return Optional.of(any);
+      }
+      return id.read(node, path, problems).map(ServiceId::value);
+    };
+  }
+
+  static ValueReader<Integer> integer(int min, int max) {
+    return scalar(
+        ScalarType.INTEGER,
+        "an integer",
+        (text, reporter) -> {
+          if (!INTEGER.matcher(text).matches()) {
+            return reporter.reject(
+                ProblemKind.MALFORMED_VALUE,
+                Texts.quote(text) + " must be a decimal integer of at most 10 digits");
+          }
+          long value = Long.parseLong(text);
+          if (value < min || value > max) {
+            return reporter.reject(
+                ProblemKind.OUT_OF_RANGE, "must be from " + min + " to " + max + ", not " + text);
+          }
+          return Optional.of((int) value);
+        });
+  }
+
+  static ValueReader<Boolean> bool() {
+    return scalar(
+        ScalarType.BOOLEAN,
+        "true or false",
+        (text, reporter) -> Optional.of(Boolean.parseBoolean(text)));
+  }
+
+  static ValueReader<Rank> rank() {
+    return scalar(
+        ScalarType.TEXT,
+        "a rank",
+        (text, reporter) -> {
+          Optional<Rank> rank = rank(text);
+          if (rank.isEmpty()) {
+            reporter.report(
+                ProblemKind.MALFORMED_VALUE,
+                Texts.quote(text) + " must be one of " + Arrays.toString(Rank.values()));
+          }
+          return rank;
+        });
+  }
+
+  static Optional<Rank> rank(String text) {
+    return Arrays.stream(Rank.values()).filter(rank -> rank.name().equals(text)).findFirst();
+  }
+
+  static ValueReader<Duration> duration(Duration min, Duration max) {
+    String unitsTitle = "a duration in ms, s or m, for example 500ms";
+    ValueReader<Long> amount =
+        amount(MILLIS_BY_UNIT, unitsTitle, min.toMillis(), max.toMillis(), Amounts::duration);
+    return (node, path, problems) -> amount.read(node, path, problems).map(Duration::ofMillis);
+  }
+
+  static ValueReader<Long> size(long max) {
+    return amount(
+        BYTES_BY_UNIT, "a size in B, KiB, MiB or GiB, for example 64KiB", 0, max, Amounts::size);
+  }
+
+  private static ValueReader<Long> amount(
+      Map<String, Long> units, String wanted, long min, long max, Function<Long, String> title) {
+    return scalar(
+        ScalarType.TEXT,
+        wanted,
+        (text, reporter) -> {
+          Matcher matcher = AMOUNT.matcher(text);
+          if (!matcher.matches() || !units.containsKey(matcher.group(2))) {
+            return reporter.reject(
+                ProblemKind.MALFORMED_VALUE, Texts.quote(text) + " must be " + wanted);
+          }
+          // At most 10 digits times 2^30 stays within a long.
+          long value = Long.parseLong(matcher.group(1)) * units.get(matcher.group(2));
+          if (value < min || value > max) {
+            return reporter.reject(
+                ProblemKind.OUT_OF_RANGE,
+                "must be from " + title.apply(min) + " to " + title.apply(max) + ", not " + text);
+          }
+          return Optional.of(value);
+        });
+  }
+
+  static ValueReader<String> host() {
+    return scalar(
+        ScalarType.TEXT,
+        "a host name",
+        (text, reporter) -> {
+          if (text.length() > Limits.MAX_HOST_CHARS || !HOST.matcher(text).matches()) {
+            return reporter.reject(
+                ProblemKind.MALFORMED_VALUE,
+                Texts.quote(text) + " must be a lower-case host name without a port");
+          }
+          return Optional.of(text);
+        });
+  }
+
+  static ValueReader<String> method() {
+    return scalar(
+        ScalarType.TEXT,
+        "a method",
+        (text, reporter) -> {
+          if (!Limits.METHODS.contains(text)) {
+            return reporter.reject(
+                ProblemKind.MALFORMED_VALUE,
+                Texts.quote(text) + " must be one of " + new TreeSet<>(Limits.METHODS));
+          }
+          return Optional.of(text);
+        });
+  }
+
+  static ValueReader<String> path() {
+    return scalar(
+        ScalarType.TEXT,
+        "a path",
+        (text, reporter) -> {
+          if (text.length() > Limits.MAX_PATH_CHARS) {
+            return reporter.reject(
+                ProblemKind.TOO_LARGE, "more than " + Limits.MAX_PATH_CHARS + " characters");
+          }
+          if (!isPath(text)) {
+            return reporter.reject(
+                ProblemKind.MALFORMED_VALUE,
+                Texts.quote(text)
+                    + " must be an absolute URL path without query, empty or dot segments");
+          }
+          return Optional.of(text);
+        });
+  }
+
+  private static boolean isPath(String text) {
+    return PATH.matcher(text).matches()
+        && ESCAPES.matcher(text).matches()
+        && !text.contains("//")
+        && !DOT_SEGMENT.matcher(text).matches();
+  }
+}
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/version/questionnaire/WorkAnswerReader.java
@@ -0,0 +1,90 @@
+package io.foxtaildoor.version.questionnaire;
+
+import static io.foxtaildoor.version.questionnaire.FieldReader.list;
+
+import io.foxtaildoor.common.Rank;
+import io.foxtaildoor.common.ServiceId;
+import io.foxtaildoor.version.questionnaire.FieldReader.ValueReader;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Stream;
+
+/** Reads the elements of {@code work}. */
+final class WorkAnswerReader implements ValueReader<WorkAnswer> {
+  private static final Set<String> KEYS =
+      Set.of(
+          "name",
+          "host",
+          "methods",
+          "path",
+          "prefix",
+          "service",
+          "idempotent",
+          "rank",
+          "deadline",
+          "maxBody");
+
+  private final Set<String> seen;
+
+  /** Creates a reader; names that it meets are added to those seen. */
+  WorkAnswerReader(Set<String> seen) {
+    this.seen = seen;
+  }
+
+  @Override
+  public Optional<WorkAnswer> read(YamlNode node, String path, ProblemList problems) {
+    return FieldReader.open(node, path, KEYS, problems).flatMap(f -> work(f, problems));
+  }
+
+  private Optional<WorkAnswer> work(FieldReader fields, ProblemList problems) {
+    // Names of kinds of work have the form of service ids.
+    Optional<ServiceId> name = fields.required("name", Values.id(ServiceId::new));
+    if (name.isPresent() && !seen.add(name.get().value())) {
+      String message = "the name " + name.get() + " occurs twice";
+      problems.add(
+          ProblemKind.DUPLICATE_NAME, fields.pathOf("name"), fields.lineOf("name"), message);
+    }
+    Optional<String> host = fields.required("host", Values.host());
+    Optional<List<String>> methods =
+        fields.optional("methods", List.of(), list(Limits.METHODS.size(), Values.method()));
+    methods.ifPresent(list -> checkMethods(list, fields, problems));
+    Optional<String> path = fields.required("path", Values.path());
+    Optional<Boolean> prefix = fields.optional("prefix", false, Values.bool());
+    Optional<ServiceId> service = fields.required("service", Values.id(ServiceId::new));
+    Optional<Boolean> idempotent = fields.required("idempotent", Values.bool());
+    Optional<Rank> rank = fields.optional("rank", Rank.NORMAL, Values.rank());
+    Optional<Duration> deadline =
+        fields.required("deadline", Values.duration(Limits.MIN_DEADLINE, Limits.MAX_DEADLINE));
+    Optional<Long> maxBody =
+        fields.optional("maxBody", Limits.DEFAULT_BODY_BYTES, Values.size(Limits.MAX_BODY_BYTES));
+    boolean complete =
+        Stream.of(name, host, methods, path, prefix, service, idempotent, rank, deadline, maxBody)
+            .allMatch(Optional::isPresent);
+    if (!complete) {
+      return Optional.empty();
+    }
+    return Optional.of(
+        new WorkAnswer(
+            name.get().value(),
+            host.get(),
+            methods.get(),
+            path.get(),
+            prefix.get(),
+            service.get(),
+            idempotent.get(),
+            rank.get(),
+            deadline.get(),
+            maxBody.get()));
+  }
+
+  private static void checkMethods(List<String> methods, FieldReader fields, ProblemList problems) {
+    if (new HashSet<>(methods).size() < methods.size()) {
+      String message = "a method occurs twice";
+      problems.add(
+          ProblemKind.DUPLICATE_NAME, fields.pathOf("methods"), fields.lineOf("methods"), message);
+    }
+  }
+}
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/version/questionnaire/YamlTreeReader.java
@@ -0,0 +1,130 @@
+package io.foxtaildoor.version.questionnaire;
+
+import com.fasterxml.jackson.core.JacksonException;
+import com.fasterxml.jackson.core.JsonLocation;
+import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.dataformat.yaml.YAMLFactory;
+import com.fasterxml.jackson.dataformat.yaml.YAMLParser;
+import io.foxtaildoor.version.questionnaire.YamlNode.Mapping;
+import io.foxtaildoor.version.questionnaire.YamlNode.Member;
+import io.foxtaildoor.version.questionnaire.YamlNode.Scalar;
+import io.foxtaildoor.version.questionnaire.YamlNode.ScalarType;
+import io.foxtaildoor.version.questionnaire.YamlNode.Sequence;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Reads YAML text into nodes with line numbers. Anchors, aliases, tags and further documents are
+ * problems, so the tree is never larger than the text.
+ */
+final class YamlTreeReader {
+  /** Deepest nesting; the form itself needs four levels. */
+  static final int MAX_DEPTH = 10;
+
+  private static final YAMLFactory FACTORY = new YAMLFactory();
+
+  private final YAMLParser parser;
+  private final ProblemList problems;
+
+  private YamlTreeReader(YAMLParser parser, ProblemList problems) {
+    this.parser = parser;
+    this.problems = problems;
+  }
+
+  /** Reads the only document of a text; an unreadable one gives a problem and no node. */
+  static Optional<YamlNode> read(String text, ProblemList problems) {
+    try (YAMLParser parser = FACTORY.createParser(text)) {
+      return new YamlTreeReader(parser, problems).document();
+    } catch (JacksonException e) {
+      problems.add(ProblemKind.SYNTAX, "", lineOf(e.getLocation()), firstLine(e));
+    } catch (IOException | RuntimeException e) {
+      // The YAML scanner has unchecked exceptions of its own for some malformed texts.
+      problems.add(ProblemKind.SYNTAX, "", Problem.NO_LINE, firstLine(e));
+    }
+    return Optional.empty();
+  }
+
+  private static int lineOf(JsonLocation location) {
+    return location == null ? Problem.NO_LINE : Math.max(location.getLineNr(), Problem.NO_LINE);
+  }
+
+  private static String firstLine(Exception e) {
+    String message = e instanceof JacksonException j ? j.getOriginalMessage() : e.getMessage();
+    String reason = message == null ? "" : ": " + message.lines().findFirst().orElse("");
+    return "the document is not well-formed YAML" + Texts.printable(reason);
+  }
+
+  private Optional<YamlNode> document() throws IOException {
+    if (parser.nextToken() == null) {
+      problems.add(ProblemKind.SYNTAX, "", 1, "the document is empty");
+      return Optional.empty();
+    }
+    YamlNode root = node("", 0);
+    if (parser.nextToken() != null) {
+      problems.add(ProblemKind.SYNTAX, "", line(), "only one YAML document is allowed");
+    }
+    return Optional.of(root);
+  }
+
+  private int line() {
+    return lineOf(parser.currentTokenLocation());
+  }
+
+  private YamlNode node(String path, int depth) throws IOException {
+    checkFeatures(path);
+    int line = line();
+    JsonToken token = parser.currentToken();
+    if (!token.isStructStart()) {
+      return new Scalar(line, scalarType(token), parser.getText());
+    }
+    if (depth >= MAX_DEPTH) {
+      problems.add(ProblemKind.TOO_LARGE, path, line, "nested more than " + MAX_DEPTH + " levels");
+      parser.skipChildren();
+      return new Scalar(line, ScalarType.NULL, "");
+    }
+    return token == JsonToken.START_OBJECT ? mapping(path, depth, line) : list(path, depth, line);
+  }
+
+  private Mapping mapping(String path, int depth, int line) throws IOException {
+    List<Member> members = new ArrayList<>();
+    while (parser.nextToken() != JsonToken.END_OBJECT) {
+      checkFeatures(path);
+      String key = parser.currentName();
+      int keyLine = line();
+      parser.nextToken();
+      members.add(new Member(keyLine, key, node(Texts.child(path, key), depth + 1)));
+    }
+    return new Mapping(line, members);
+  }
+
+  private Sequence list(String path, int depth, int line) throws IOException {
+    List<YamlNode> items = new ArrayList<>();
+    while (parser.nextToken() != JsonToken.END_ARRAY) {
+      items.add(node(Texts.item(path, items.size()), depth + 1));
+    }
+    return new Sequence(line, items);
+  }
+
+  private void checkFeatures(String path) throws IOException {
+    if (parser.isCurrentAlias()) {
+      problems.add(ProblemKind.YAML_FEATURE, path, line(), "aliases are not allowed");
+    } else if (parser.getObjectId() != null) {
+      problems.add(ProblemKind.YAML_FEATURE, path, line(), "anchors are not allowed");
+    }
+    if (parser.getTypeId() != null) {
+      problems.add(ProblemKind.YAML_FEATURE, path, line(), "tags are not allowed");
+    }
+  }
+
+  private static ScalarType scalarType(JsonToken token) {
+    return switch (token) {
+      case VALUE_NUMBER_INT -> ScalarType.INTEGER;
+      case VALUE_NUMBER_FLOAT -> ScalarType.DECIMAL;
+      case VALUE_TRUE, VALUE_FALSE -> ScalarType.BOOLEAN;
+      case VALUE_NULL -> ScalarType.NULL;
+      default -> ScalarType.TEXT;
+    };
+  }
+}
