Add generation, approval service and audit trail

Cause: accepted configurations need one point of agreement that survives lost answers and concurrent operators. Change: deterministic generation, rendering, difference and cross-checks; ApprovalService over PlatformClient with compare-and-set of the head and settling of unknown outcomes by write id; AuditTrail in segments. Conclusion: compiles without warnings; behaviour not tested yet.

--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/process/audit/AuditCursor.java
@@ -0,0 +1,38 @@
+package io.foxtaildoor.process.audit;
+
+import io.foxtaildoor.common.ErrorKind;
+import io.foxtaildoor.common.FoxtaildoorException;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * Place in the audit trail: the entries of a segment before an index, and all older segments.
+ *
+ * @param segment from 1
+ * @param index first entry of the segment that is not included
+ */
+public record AuditCursor(long segment, int index) {
+  /** Index behind the last entry of any segment. */
+  static final int SEGMENT_END = 999_999;
+
+  private static final Pattern FORM = Pattern.compile("([1-9][0-9]{0,11})-([0-9]{1,6})");
+
+  /**
+   * Reads the text form.
+   *
+   * @throws FoxtaildoorException with {@link ErrorKind#INVALID_INPUT} when it is malformed
+   */
+  public static AuditCursor parse(String text) {
+    Matcher matcher = FORM.matcher(text);
+    if (!matcher.matches()) {
+      throw new FoxtaildoorException(
+          ErrorKind.INVALID_INPUT, "an audit cursor must have the form <segment>-<index>");
+    }
+    return new AuditCursor(Long.parseLong(matcher.group(1)), Integer.parseInt(matcher.group(2)));
+  }
+
+  @Override
+  public String toString() {
+    return segment + "-" + index;
+  }
+}
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/process/audit/package-info.java
@@ -0,0 +1,2 @@
+/** Audit trail of operators' actions, kept on the platform. */
+package io.foxtaildoor.process.audit;
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/version/approval/HeadUpdate.java
@@ -0,0 +1,68 @@
+package io.foxtaildoor.version.approval;
+
+import com.google.protobuf.ByteString;
+import io.foxtaildoor.common.Digest;
+import io.foxtaildoor.common.ErrorKind;
+import io.foxtaildoor.common.FoxtaildoorException;
+import io.foxtaildoor.common.TeamId;
+import io.foxtaildoor.process.platform.PlatformClient;
+import io.foxtaildoor.protocol.Approval;
+import io.foxtaildoor.protocol.ConfigurationHead;
+import io.foxtaildoor.protocol.ManifestEntry;
+import io.foxtaildoor.protocol.RetiredPart;
+import io.foxtaildoor.version.manifest.Manifest;
+import java.util.Set;
+import java.util.SortedMap;
+import java.util.TreeMap;
+
+/** The head record that replaces another one by accepting a part. */
+@SuppressWarnings("ArrayRecordComponent") // The content is handed on, never compared.
+record HeadUpdate(Manifest manifest, byte[] content) {
+  /**
+   * Makes the next head.
+   *
+   * @param removed retired parts that are left out
+   * @throws FoxtaildoorException with {@link ErrorKind#BAD_CONFIGURATION} when the record would be
+   *     larger than the platform can hold
+   */
+  static HeadUpdate next(
+      AcceptedHead head, TeamId team, Digest part, Approval approval, Set<Digest> removed) {
+    SortedMap<TeamId, Digest> entries = new TreeMap<>(head.manifest().entries());
+    Digest replaced = entries.put(team, part);
+    Manifest manifest = Manifest.of(head.version() + 1, entries);
+    ConfigurationHead.Builder next =
+        ConfigurationHead.newBuilder()
+            .setVersion(manifest.version())
+            .setDigest(bytes(manifest.stamp().digest()))
+            .setPreviousDigest(bytes(head.manifest().stamp().digest()))
+            .setApproval(approval);
+    entries.forEach(
+        (id, digest) ->
+            next.addEntries(
+                ManifestEntry.newBuilder().setTeam(id.value()).setDigest(bytes(digest))));
+    for (RetiredPart retired : head.record().getRetiredPartsList()) {
+      Digest digest = Digest.ofBytes(retired.getDigest().toByteArray());
+      // A part that is accepted again must not be removed later.
+      if (!digest.equals(part) && !removed.contains(digest)) {
+        next.addRetiredParts(retired);
+      }
+    }
+    if (replaced != null) {
+      next.addRetiredParts(
+          RetiredPart.newBuilder()
+              .setDigest(bytes(replaced))
+              .setRetiredAtVersion(manifest.version()));
+    }
+    byte[] content = next.build().toByteArray();
+    if (content.length > PlatformClient.MAX_VALUE_BYTES) {
+      throw new FoxtaildoorException(
+          ErrorKind.BAD_CONFIGURATION,
+          "the head record would be larger than the platform can hold; there are too many teams");
+    }
+    return new HeadUpdate(manifest, content);
+  }
+
+  private static ByteString bytes(Digest digest) {
+    return ByteString.copyFrom(digest.bytes());
+  }
+}
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/version/approval/OperatorDirectory.java
@@ -0,0 +1,105 @@
+package io.foxtaildoor.version.approval;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.foxtaildoor.common.Digest;
+import io.foxtaildoor.common.ErrorKind;
+import io.foxtaildoor.common.FoxtaildoorException;
+import io.foxtaildoor.common.MemberId;
+import io.foxtaildoor.process.platform.PlatformClient;
+import io.foxtaildoor.process.platform.PlatformEntry;
+import io.foxtaildoor.process.platform.PlatformReads;
+import io.foxtaildoor.process.platform.SettledWriter;
+import io.foxtaildoor.protocol.OperatorRecord;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.util.concurrent.CompletableFuture;
+
+/** The operators that the platform knows and the hashes of their tokens. */
+final class OperatorDirectory {
+  /** Longest token, in characters. */
+  private static final int MAX_TOKEN_CHARS = 512;
+
+  private final PlatformReads reads;
+  private final SettledWriter writer;
+
+  OperatorDirectory(PlatformReads reads, SettledWriter writer) {
+    this.reads = reads;
+    this.writer = writer;
+  }
+
+  private static String key(String name) {
+    return "operator/" + name;
+  }
+
+  /** Finds the operator of credentials of the form {@code <name>:<token>}. */
+  CompletableFuture<Operator> authenticate(String credentials) {
+    int colon = credentials.indexOf(':');
+    if (colon < 0 || credentials.length() - colon - 1 > MAX_TOKEN_CHARS) {
+      return CompletableFuture.failedFuture(unauthenticated());
+    }
+    String name = credentials.substring(0, colon);
+    if (!Operator.isName(name)) {
+      return CompletableFuture.failedFuture(unauthenticated());
+    }
+    Digest hash = Digest.of(credentials.substring(colon + 1).getBytes(StandardCharsets.UTF_8));
+    return reads.get(key(name)).thenApply(entry -> verified(entry, hash));
+  }
+
+  private static Operator verified(PlatformEntry entry, Digest hash) {
+    OperatorRecord operator = parse(entry);
+    // An absent operator has an empty hash, which equals none.
+    if (!MessageDigest.isEqual(operator.getTokenSha256().toByteArray(), hash.bytes())) {
+      throw unauthenticated();
+    }
+    return new Operator(operator.getName(), new MemberId(operator.getMember()));
+  }
+
+  private static FoxtaildoorException unauthenticated() {
+    return new FoxtaildoorException(
+        ErrorKind.UNAUTHENTICATED, "the operator's name or token is wrong");
+  }
+
+  private static OperatorRecord parse(PlatformEntry entry) {
+    try {
+      return entry.exists()
+          ? OperatorRecord.parseFrom(entry.value())
+          : OperatorRecord.getDefaultInstance();
+    } catch (InvalidProtocolBufferException e) {
+      throw new FoxtaildoorException(
+          ErrorKind.INTERNAL, "the record " + entry.key() + " on the platform is unreadable", e);
+    }
+  }
+
+  /** Creates the record of an operator; one with the same member and hash succeeds as well. */
+  CompletableFuture<Operator> create(
+      Operator operator, Digest tokenHash, long epochMillis, String writeId) {
+    OperatorRecord created =
+        OperatorRecord.newBuilder()
+            .setName(operator.name())
+            .setMember(operator.member().value())
+            .setTokenSha256(ByteString.copyFrom(tokenHash.bytes()))
+            .setCreatedEpochMillis(epochMillis)
+            .setWriteId(writeId)
+            .build();
+    return writer
+        .write(
+            key(operator.name()),
+            PlatformClient.ABSENT_REVISION,
+            created.toByteArray(),
+            entry -> isSame(parse(entry), created))
+        .thenApply(
+            outcome -> {
+              if (outcome instanceof SettledWriter.Outcome.Written) {
+                return operator;
+              }
+              throw new FoxtaildoorException(
+                  ErrorKind.CONFLICT, "the operator " + operator.name() + " exists already");
+            });
+  }
+
+  private static boolean isSame(OperatorRecord present, OperatorRecord created) {
+    return present.getMember().equals(created.getMember())
+        && present.getTokenSha256().equals(created.getTokenSha256());
+  }
+}
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/version/approval/PartCache.java
@@ -0,0 +1,34 @@
+package io.foxtaildoor.version.approval;
+
+import io.foxtaildoor.common.Digest;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+
+/** Least recently used parts by digest, bounded by their bytes; safe for use by several threads. */
+final class PartCache {
+  private final int maxBytes;
+  private final Map<Digest, byte[]> parts = new LinkedHashMap<>(16, 0.75f, true);
+  private int bytes;
+
+  PartCache(int maxBytes) {
+    this.maxBytes = maxBytes;
+  }
+
+  synchronized Optional<byte[]> get(Digest digest) {
+    return Optional.ofNullable(parts.get(digest));
+  }
+
+  synchronized void put(Digest digest, byte[] content) {
+    if (parts.putIfAbsent(digest, content) != null) {
+      return;
+    }
+    bytes += content.length;
+    Iterator<byte[]> oldest = parts.values().iterator();
+    while (bytes > maxBytes && oldest.hasNext()) {
+      bytes -= oldest.next().length;
+      oldest.remove();
+    }
+  }
+}
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/version/approval/Proposal.java
@@ -0,0 +1,29 @@
+package io.foxtaildoor.version.approval;
+
+import io.foxtaildoor.common.Digest;
+import io.foxtaildoor.protocol.TeamConfiguration;
+import io.foxtaildoor.version.generation.ConfigurationGenerator;
+import io.foxtaildoor.version.questionnaire.Places;
+import io.foxtaildoor.version.questionnaire.Questionnaire;
+import io.foxtaildoor.version.questionnaire.ReadResult;
+
+/**
+ * A valid questionnaire and the configuration that it generates.
+ *
+ * @param content serialized form of the configuration
+ * @param digest of the content
+ */
+@SuppressWarnings("ArrayRecordComponent") // The content is handed on, never compared.
+record Proposal(
+    Questionnaire questionnaire,
+    Places places,
+    TeamConfiguration configuration,
+    byte[] content,
+    Digest digest) {
+  static Proposal of(ReadResult.Valid valid) {
+    TeamConfiguration configuration = ConfigurationGenerator.generate(valid.questionnaire());
+    byte[] content = configuration.toByteArray();
+    return new Proposal(
+        valid.questionnaire(), valid.places(), configuration, content, Digest.of(content));
+  }
+}
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/version/approval/ProposalReport.java
@@ -0,0 +1,16 @@
+package io.foxtaildoor.version.approval;
+
+import io.foxtaildoor.common.Digest;
+import io.foxtaildoor.common.TeamId;
+import java.util.Optional;
+
+/**
+ * A proposed configuration next to what is accepted.
+ *
+ * @param proposal digest of the proposed configuration; an approval names it
+ * @param base digest of the accepted configuration; an approval names it
+ * @param rendered the proposed configuration as YAML
+ * @param difference from the accepted configuration in unified form; empty when they are equal
+ */
+public record ProposalReport(
+    TeamId team, Digest proposal, Optional<Digest> base, String rendered, String difference) {}
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/version/approval/QuestionnaireStore.java
@@ -0,0 +1,127 @@
+package io.foxtaildoor.version.approval;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.foxtaildoor.common.ErrorKind;
+import io.foxtaildoor.common.FoxtaildoorException;
+import io.foxtaildoor.common.MemberId;
+import io.foxtaildoor.common.TeamId;
+import io.foxtaildoor.process.platform.PlatformClient;
+import io.foxtaildoor.process.platform.PlatformEntry;
+import io.foxtaildoor.process.platform.PlatformReads;
+import io.foxtaildoor.process.platform.SettledWriter;
+import io.foxtaildoor.protocol.QuestionnaireRecord;
+import io.foxtaildoor.protocol.QuestionnaireRevision;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+/** Reads and writes the questionnaires on the platform. */
+final class QuestionnaireStore {
+  /** A record at a revision of its key; empty before the first submission. */
+  record Stored(long keyRevision, QuestionnaireRecord record) {
+    /** The present proposal. */
+    Optional<QuestionnaireRevision> latest() {
+      int count = record.getRevisionsCount();
+      return count == 0 ? Optional.empty() : Optional.of(record.getRevisions(count - 1));
+    }
+
+    boolean belongsToOther(MemberId member) {
+      return latest().isPresent() && !record.getMember().equals(member.value());
+    }
+  }
+
+  private final PlatformReads reads;
+  private final SettledWriter writer;
+  private final int historyRevisions;
+
+  QuestionnaireStore(PlatformReads reads, SettledWriter writer, int historyRevisions) {
+    this.reads = reads;
+    this.writer = writer;
+    this.historyRevisions = historyRevisions;
+  }
+
+  private static String key(TeamId team) {
+    return "questionnaire/" + team;
+  }
+
+  CompletableFuture<Stored> read(TeamId team) {
+    return reads.get(key(team)).thenApply(QuestionnaireStore::parse);
+  }
+
+  /** Reads a record that an operator's member owns; fails when it is absent or another's. */
+  CompletableFuture<Stored> readOwn(Operator operator, TeamId team) {
+    return read(team).thenApply(stored -> requireOwn(stored, operator, team));
+  }
+
+  private static Stored requireOwn(Stored stored, Operator operator, TeamId team) {
+    if (stored.latest().isEmpty()) {
+      throw new FoxtaildoorException(ErrorKind.NOT_FOUND, "team " + team + " has no questionnaire");
+    }
+    requireNotOther(stored, operator, team);
+    return stored;
+  }
+
+  /** Checks that a record, if there is one, belongs to the operator's member. */
+  static void requireNotOther(Stored stored, Operator operator, TeamId team) {
+    if (stored.belongsToOther(operator.member())) {
+      throw new FoxtaildoorException(
+          ErrorKind.FORBIDDEN, "team " + team + " belongs to another member");
+    }
+  }
+
+  private static Stored parse(PlatformEntry entry) {
+    try {
+      return new Stored(
+          entry.revision(),
+          entry.exists()
+              ? QuestionnaireRecord.parseFrom(entry.value())
+              : QuestionnaireRecord.getDefaultInstance());
+    } catch (InvalidProtocolBufferException e) {
+      throw new FoxtaildoorException(
+          ErrorKind.INTERNAL, "the record " + entry.key() + " on the platform is unreadable", e);
+    }
+  }
+
+  /**
+   * Appends a revision to the state that was read. Gives the stored record if it has the revision,
+   * and nothing when another operator wrote first.
+   */
+  CompletableFuture<Optional<Stored>> append(
+      TeamId team, Stored former, QuestionnaireRevision revision) {
+    byte[] value = withRevision(team, former.record(), revision).toByteArray();
+    if (value.length > PlatformClient.MAX_VALUE_BYTES) {
+      throw new FoxtaildoorException(
+          ErrorKind.INVALID_INPUT, "the questionnaire is larger than the platform can hold");
+    }
+    return writer
+        .write(
+            key(team),
+            former.keyRevision(),
+            value,
+            entry -> hasWrite(parse(entry).record(), revision.getWriteId()))
+        .thenApply(
+            outcome ->
+                outcome instanceof SettledWriter.Outcome.Written written
+                    ? Optional.of(parse(written.entry()))
+                    : Optional.empty());
+  }
+
+  private static boolean hasWrite(QuestionnaireRecord record, String writeId) {
+    return record.getRevisionsList().stream().anyMatch(r -> r.getWriteId().equals(writeId));
+  }
+
+  /** Adds a revision; the oldest ones are left out beyond the history or the size of a value. */
+  private QuestionnaireRecord withRevision(
+      TeamId team, QuestionnaireRecord former, QuestionnaireRevision revision) {
+    QuestionnaireRecord.Builder next =
+        former.toBuilder()
+            .setTeam(team.value())
+            .setMember(revision.getMember())
+            .addRevisions(revision);
+    while (next.getRevisionsCount() > historyRevisions
+        || (next.getRevisionsCount() > 1
+            && next.build().getSerializedSize() > PlatformClient.MAX_VALUE_BYTES)) {
+      next.removeRevisions(0);
+    }
+    return next.build();
+  }
+}
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/version/approval/Submission.java
@@ -0,0 +1,131 @@
+package io.foxtaildoor.version.approval;
+
+import com.google.protobuf.ByteString;
+import io.foxtaildoor.common.ErrorKind;
+import io.foxtaildoor.common.TeamId;
+import io.foxtaildoor.process.audit.AuditKind;
+import io.foxtaildoor.protocol.QuestionnaireRevision;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+/** One request to store a questionnaire. */
+final class Submission {
+  private final ApprovalEnvironment environment;
+  private final QuestionnaireStore questionnaires;
+  private final AcceptedStore accepted;
+  private final AuditNotes notes;
+  private final Operator operator;
+  private final TeamId team;
+  private final long expectedRevision;
+  private final Proposal proposal;
+  private final String document;
+
+  /**
+   * Creates a request.
+   *
+   * @param expectedRevision the revision that is amended; 0 for the first submission
+   */
+  Submission(
+      ApprovalService.Parts parts,
+      Operator operator,
+      TeamId team,
+      long expectedRevision,
+      String document) {
+    this.environment = parts.environment();
+    this.questionnaires = parts.questionnaires();
+    this.accepted = parts.accepted();
+    this.notes = parts.notes();
+    this.operator = operator;
+    this.team = team;
+    this.expectedRevision = expectedRevision;
+    this.document = document;
+    this.proposal = ProposalChecks.read(document);
+    ProposalChecks.requireTeam(proposal, team);
+    ProposalChecks.requireMember(proposal, operator);
+  }
+
+  CompletableFuture<OperatorResult<SubmissionReceipt>> run() {
+    return questionnaires
+        .read(team)
+        .thenCompose(stored -> accepted.readHead().thenCompose(head -> decide(stored, head)));
+  }
+
+  private CompletableFuture<OperatorResult<SubmissionReceipt>> decide(
+      QuestionnaireStore.Stored stored, AcceptedHead head) {
+    QuestionnaireStore.requireNotOther(stored, operator, team);
+    Optional<QuestionnaireRevision> earlier =
+        stored.record().getRevisionsList().stream().filter(this::isSameRequest).findFirst();
+    if (earlier.isPresent()) {
+      return done(earlier.get().getRevision(), head, true);
+    }
+    long present = stored.latest().map(QuestionnaireRevision::getRevision).orElse(0L);
+    if (present != expectedRevision) {
+      return CompletableFuture.completedFuture(conflict(stored, head));
+    }
+    return accepted
+        .loadParts(head.manifest().entries().values())
+        .thenCompose(
+            parts -> {
+              ProposalChecks.crossCheck(proposal, head, parts);
+              return store(stored, head);
+            });
+  }
+
+  /** Whether a stored revision is that of an earlier identical request. */
+  private boolean isSameRequest(QuestionnaireRevision revision) {
+    return revision.getRevision() == expectedRevision + 1
+        && revision.getOperator().equals(operator.name())
+        && revision.getDocument().equals(document);
+  }
+
+  private OperatorResult<SubmissionReceipt> conflict(
+      QuestionnaireStore.Stored stored, AcceptedHead head) {
+    if (stored.latest().isEmpty()) {
+      return new OperatorResult.Failed<>(
+          ErrorKind.NOT_FOUND, "team " + team + " has no questionnaire");
+    }
+    TeamState state = TeamState.of(team, stored.latest().get(), head);
+    String wanted = expectedRevision == 0 ? "no questionnaire" : "revision " + expectedRevision;
+    return new OperatorResult.Conflict<>(
+        state, "the request expects " + wanted + ", present is revision " + state.revision());
+  }
+
+  private CompletableFuture<OperatorResult<SubmissionReceipt>> store(
+      QuestionnaireStore.Stored stored, AcceptedHead head) {
+    QuestionnaireRevision revision =
+        QuestionnaireRevision.newBuilder()
+            .setRevision(expectedRevision + 1)
+            .setDocument(document)
+            .setOperator(operator.name())
+            .setMember(operator.member().value())
+            .setAtEpochMillis(environment.epochMillis().getAsLong())
+            .setProposalDigest(ByteString.copyFrom(proposal.digest().bytes()))
+            .setWriteId(environment.uniqueId())
+            .build();
+    AuditKind kind = expectedRevision == 0 ? AuditKind.SUBMISSION : AuditKind.AMENDMENT;
+    String digest = proposal.digest().hex();
+    String writeId = revision.getWriteId();
+    return questionnaires
+        .append(team, stored, revision)
+        .whenComplete(
+            (written, error) ->
+                notes.unsettled(kind, operator, team.value(), digest, writeId, error))
+        .thenComposeAsync(
+            written -> {
+              if (written.isEmpty()) {
+                return run();
+              }
+              notes.action(
+                  kind, operator, team.value(), revision.getRevision(), digest, writeId, "");
+              return done(revision.getRevision(), head, false);
+            },
+            environment.worker());
+  }
+
+  private CompletableFuture<OperatorResult<SubmissionReceipt>> done(
+      long revision, AcceptedHead head, boolean repeated) {
+    return CompletableFuture.completedFuture(
+        new OperatorResult.Done<>(
+            new SubmissionReceipt(team, revision, proposal.digest(), head.partOf(team), repeated)));
+  }
+}
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/version/generation/RouteOverlap.java
@@ -0,0 +1,58 @@
+package io.foxtaildoor.version.generation;
+
+import io.foxtaildoor.protocol.RouteConfiguration;
+import io.foxtaildoor.protocol.TeamConfiguration;
+import io.foxtaildoor.version.questionnaire.WorkAnswer;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+
+/** Finds accepted routes of other teams that match requests of a new route. */
+final class RouteOverlap {
+  /** A route of another team. */
+  record Other(String team, String name) {}
+
+  private record Candidate(String team, RouteConfiguration route) {}
+
+  private final Map<String, List<Candidate>> byHost = new HashMap<>();
+
+  RouteOverlap(Collection<TeamConfiguration> teams) {
+    for (TeamConfiguration team : teams) {
+      for (RouteConfiguration route : team.getRoutesList()) {
+        byHost
+            .computeIfAbsent(route.getHost().toLowerCase(Locale.ROOT), host -> new ArrayList<>())
+            .add(new Candidate(team.getTeam(), route));
+      }
+    }
+  }
+
+  Optional<Other> find(WorkAnswer work) {
+    return byHost.getOrDefault(work.host().toLowerCase(Locale.ROOT), List.of()).stream()
+        .filter(candidate -> overlaps(work, candidate.route()))
+        .findFirst()
+        .map(candidate -> new Other(candidate.team(), candidate.route().getName()));
+  }
+
+  private static boolean overlaps(WorkAnswer work, RouteConfiguration route) {
+    boolean methods =
+        work.methods().isEmpty()
+            || route.getMethodsCount() == 0
+            || !Collections.disjoint(work.methods(), route.getMethodsList());
+    return methods
+        && (matches(work.path(), work.prefix(), route.getPath())
+            || matches(route.getPath(), route.getPrefix(), work.path()));
+  }
+
+  /** Whether a route's path matches another path, as in the lookup of requests. */
+  private static boolean matches(String path, boolean prefix, String other) {
+    if (path.equals(other)) {
+      return true;
+    }
+    return prefix && other.startsWith(path.endsWith("/") ? path : path + "/");
+  }
+}
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/version/generation/TextDifference.java
@@ -0,0 +1,149 @@
+package io.foxtaildoor.version.generation;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** Difference of two texts by lines, in the form of unified diff. */
+public final class TextDifference {
+  /** Unchanged lines before and after each change. */
+  private static final int CONTEXT_LINES = 3;
+
+  /**
+   * Largest table of the comparison, in cells of 4 bytes. Texts that differ more are shown as
+   * replaced from the first to the last difference.
+   */
+  private static final long MAX_CELLS = 4_000_000;
+
+  private enum Kind {
+    SAME(' '),
+    REMOVED('-'),
+    ADDED('+');
+
+    private final char mark;
+
+    Kind(char mark) {
+      this.mark = mark;
+    }
+  }
+
+  private record Line(Kind kind, String text) {}
+
+  private TextDifference() {}
+
+  /** Compares two texts; equal ones give an empty text. */
+  public static String unified(String beforeName, String before, String afterName, String after) {
+    List<Line> lines = compare(before.lines().toList(), after.lines().toList());
+    if (lines.stream().allMatch(line -> line.kind() == Kind.SAME)) {
+      return "";
+    }
+    StringBuilder out = new StringBuilder();
+    out.append("--- ").append(beforeName).append("\n+++ ").append(afterName).append('\n');
+    appendHunks(lines, out);
+    return out.toString();
+  }
+
+  private static List<Line> compare(List<String> before, List<String> after) {
+    int prefix = 0;
+    int shorter = Math.min(before.size(), after.size());
+    while (prefix < shorter && before.get(prefix).equals(after.get(prefix))) {
+      prefix++;
+    }
+    int suffix = 0;
+    while (suffix < shorter - prefix
+        && before.get(before.size() - 1 - suffix).equals(after.get(after.size() - 1 - suffix))) {
+      suffix++;
+    }
+    List<Line> lines = new ArrayList<>();
+    before.subList(0, prefix).forEach(text -> lines.add(new Line(Kind.SAME, text)));
+    compareMiddle(
+        before.subList(prefix, before.size() - suffix),
+        after.subList(prefix, after.size() - suffix),
+        lines);
+    before
+        .subList(before.size() - suffix, before.size())
+        .forEach(text -> lines.add(new Line(Kind.SAME, text)));
+    return lines;
+  }
+
+  private static void compareMiddle(List<String> before, List<String> after, List<Line> lines) {
+    int i = 0;
+    int j = 0;
+    if ((before.size() + 1L) * (after.size() + 1L) <= MAX_CELLS) {
+      int[][] common = commonLengths(before, after);
+      while (i < before.size() && j < after.size()) {
+        if (before.get(i).equals(after.get(j))) {
+          lines.add(new Line(Kind.SAME, before.get(i)));
+          i++;
+          j++;
+        } else if (common[i + 1][j] >= common[i][j + 1]) {
+          lines.add(new Line(Kind.REMOVED, before.get(i++)));
+        } else {
+          lines.add(new Line(Kind.ADDED, after.get(j++)));
+        }
+      }
+    }
+    before.subList(i, before.size()).forEach(text -> lines.add(new Line(Kind.REMOVED, text)));
+    after.subList(j, after.size()).forEach(text -> lines.add(new Line(Kind.ADDED, text)));
+  }
+
+  /** Lengths of the longest common subsequences of all pairs of tails. */
+  private static int[][] commonLengths(List<String> before, List<String> after) {
+    int[][] common = new int[before.size() + 1][after.size() + 1];
+    for (int i = before.size() - 1; i >= 0; i--) {
+      for (int j = after.size() - 1; j >= 0; j--) {
+        common[i][j] =
+            before.get(i).equals(after.get(j))
+                ? common[i + 1][j + 1] + 1
+                : Math.max(common[i + 1][j], common[i][j + 1]);
+      }
+    }
+    return common;
+  }
+
+  private static void appendHunks(List<Line> lines, StringBuilder out) {
+    int beforeLine = 1;
+    int afterLine = 1;
+    int index = 0;
+    while (index < lines.size()) {
+      int end = hunkEnd(lines, index);
+      if (end < 0) {
+        Kind kind = lines.get(index).kind();
+        beforeLine += kind == Kind.ADDED ? 0 : 1;
+        afterLine += kind == Kind.REMOVED ? 0 : 1;
+        index++;
+        continue;
+      }
+      List<Line> hunk = lines.subList(index, end);
+      int removed = count(hunk, Kind.ADDED);
+      int added = count(hunk, Kind.REMOVED);
+      out.append("@@ -").append(range(beforeLine, removed));
+      out.append(" +").append(range(afterLine, added)).append(" @@\n");
+      hunk.forEach(line -> out.append(line.kind().mark).append(line.text()).append('\n'));
+      beforeLine += removed;
+      afterLine += added;
+      index = end;
+    }
+  }
+
+  /** Finds the end of the hunk that begins at a line; negative when none begins there. */
+  private static int hunkEnd(List<Line> lines, int start) {
+    int end = -1;
+    int lastNeeded = start + CONTEXT_LINES;
+    for (int i = start; i < lines.size() && i <= lastNeeded; i++) {
+      if (lines.get(i).kind() != Kind.SAME) {
+        end = Math.min(lines.size(), i + 1 + CONTEXT_LINES);
+        lastNeeded = i + 2 * CONTEXT_LINES + 1;
+      }
+    }
+    return end;
+  }
+
+  /** Counts the lines that are not of a kind. */
+  private static int count(List<Line> lines, Kind except) {
+    return (int) lines.stream().filter(line -> line.kind() != except).count();
+  }
+
+  private static String range(int first, int count) {
+    return (count == 0 ? first - 1 : first) + "," + count;
+  }
+}
