Add the links between nodes

Request streams and control frames need a transport that never mixes up answers and that tells requests that were sent from those that were not.

The client and the listener share AbstractLink (handshake, heartbeats, protocol errors). Streams have ids that are never reused, a window of 64 KiB in both directions and bounded buffers. A broken link fails each stream by what the socket took of its head. Control calls use a bounded pool with one exchange at a time.

--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/connection/link/AbstractLink.java
@@ -0,0 +1,279 @@
+package io.foxtaildoor.connection.link;
+
+import io.foxtaildoor.common.ErrorKind;
+import io.foxtaildoor.protocol.Frame;
+import io.foxtaildoor.protocol.Hello;
+import io.foxtaildoor.protocol.Ping;
+import io.foxtaildoor.protocol.Pong;
+import io.foxtaildoor.protocol.ProtocolError;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.handler.codec.DecoderException;
+import io.netty.util.concurrent.Future;
+import java.lang.System.Logger.Level;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+
+/** One end of a connection between nodes: handshake, heartbeats, closing; on one event loop. */
+abstract class AbstractLink extends SimpleChannelInboundHandler<Frame> {
+  /** Outbound bytes at which streams stop and start sending. */
+  static final WriteBufferWaterMark WATER_MARK = new WriteBufferWaterMark(128 << 10, 512 << 10);
+
+  /**
+   * Outbound bytes at which a link is closed. Bodies stop at the water mark, so only answers to a
+   * peer that sends frames and reads nothing grow past it.
+   */
+  private static final long OUTBOUND_LIMIT_BYTES = 16 << 20;
+
+  private static final System.Logger LOG = System.getLogger(AbstractLink.class.getName());
+
+  private enum State {
+    HANDSHAKE,
+    OPEN,
+    CLOSED
+  }
+
+  final LinkContext shared;
+  private State state = State.HANDSHAKE;
+  private ChannelHandlerContext context;
+  private Future<?> timer;
+  private String closeReason = "connection closed by the other side";
+  private long pingSequence;
+  private long pongSequence;
+  private long oldestPingNanos;
+
+  AbstractLink(LinkContext shared) {
+    this.shared = shared;
+  }
+
+  /** Checks the first frame of the other side; gives the reason to refuse it. */
+  abstract Optional<String> checkHello(Hello hello);
+
+  /** The handshake is done. */
+  abstract void opened(Hello hello);
+
+  /** Takes a frame other than hello, ping, pong and error. */
+  abstract void received(Frame frame);
+
+  /** The connection is closed; nothing follows. */
+  abstract void closed(String reason);
+
+  /** The outbound buffer has room again. */
+  abstract void drainStreams();
+
+  /** Whether pings are sent on this connection. */
+  abstract boolean pings();
+
+  /** Called at each ping interval while the link is open. */
+  abstract void heartbeat(long nowNanos);
+
+  @Override
+  public void handlerAdded(ChannelHandlerContext ctx) {
+    context = ctx;
+    ctx.channel().config().setOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WATER_MARK);
+    schedule(shared.settings().connectTimeout(), this::handshakeTimedOut);
+  }
+
+  private void schedule(Duration delay, Runnable task) {
+    timer = context.executor().schedule(task, delay.toNanos(), TimeUnit.NANOSECONDS);
+  }
+
+  private void handshakeTimedOut() {
+    if (state == State.HANDSHAKE) {
+      close("no handshake in time");
+    }
+  }
+
+  @Override
+  protected void channelRead0(ChannelHandlerContext ctx, Frame frame) {
+    if (state == State.CLOSED) {
+      return;
+    }
+    if (state == State.HANDSHAKE) {
+      handshake(frame);
+      return;
+    }
+    switch (frame.getBodyCase()) {
+      case PING -> {
+        if (outboundBytes() > OUTBOUND_LIMIT_BYTES) {
+          close("the other side does not read");
+          return;
+        }
+        send(Frame.newBuilder().setPong(Pong.newBuilder().setSequence(pingOf(frame))).build());
+      }
+      case PONG -> pong(frame.getPong().getSequence());
+      case ERROR -> errorReceived(frame.getError());
+      case HELLO, BODY_NOT_SET -> violation("frame " + frame.getBodyCase() + " is out of order");
+      default -> received(frame);
+    }
+  }
+
+  /** The other side reports an error and closes. */
+  void errorReceived(ProtocolError error) {
+    close("the other side reports: " + error.getDetail());
+  }
+
+  private static long pingOf(Frame frame) {
+    return frame.getPing().getSequence();
+  }
+
+  private void handshake(Frame frame) {
+    if (frame.getBodyCase() == Frame.BodyCase.ERROR) {
+      errorReceived(frame.getError());
+      return;
+    }
+    if (frame.getBodyCase() != Frame.BodyCase.HELLO) {
+      violation("first frame is " + frame.getBodyCase() + " instead of HELLO");
+      return;
+    }
+    Optional<String> refusal = checkHello(frame.getHello());
+    if (refusal.isPresent()) {
+      violation(refusal.get());
+      return;
+    }
+    state = State.OPEN;
+    timer.cancel(false);
+    opened(frame.getHello());
+    if (state == State.OPEN) {
+      schedule(shared.settings().pingInterval(), this::tick);
+    }
+  }
+
+  private void tick() {
+    if (state != State.OPEN) {
+      return;
+    }
+    long now = shared.clock().getAsLong();
+    schedule(shared.settings().pingInterval(), this::tick);
+    if (pings()) {
+      ping(now);
+    }
+    heartbeat(now);
+  }
+
+  private void ping(long now) {
+    if (unanswered() && now - oldestPingNanos >= shared.settings().pingTimeout().toNanos()) {
+      shared.metrics().silentLink();
+      close("ping unanswered for " + shared.settings().pingTimeout());
+      return;
+    }
+    if (!unanswered()) {
+      oldestPingNanos = now;
+    }
+    pingSequence++;
+    send(Frame.newBuilder().setPing(Ping.newBuilder().setSequence(pingSequence)).build());
+  }
+
+  private void pong(long sequence) {
+    if (sequence > pingSequence) {
+      violation("pong for a ping that was not sent");
+      return;
+    }
+    pongSequence = Math.max(pongSequence, sequence);
+    // The later pings were sent after this one; the next tick restarts the age.
+    oldestPingNanos = shared.clock().getAsLong();
+  }
+
+  /** Whether a ping waits for its answer. */
+  private boolean unanswered() {
+    return pongSequence < pingSequence;
+  }
+
+  /** Whether a ping has been unanswered for a whole interval, so that new streams go elsewhere. */
+  final boolean suspect(long nowNanos) {
+    return unanswered() && nowNanos - oldestPingNanos > shared.settings().pingInterval().toNanos();
+  }
+
+  /** Writes a frame; a failure of the write closes the connection. */
+  final void send(Frame frame) {
+    write(frame).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+  }
+
+  /** Writes a frame and gives the outcome of the write to the socket. */
+  final ChannelFuture write(Frame frame) {
+    return context.writeAndFlush(frame);
+  }
+
+  final boolean isOpen() {
+    return state == State.OPEN;
+  }
+
+  final boolean isClosed() {
+    return state == State.CLOSED;
+  }
+
+  final boolean hasRoom() {
+    return state == State.OPEN && context.channel().isWritable();
+  }
+
+  final ChannelHandlerContext context() {
+    return context;
+  }
+
+  private long outboundBytes() {
+    return context.channel().bytesBeforeWritable();
+  }
+
+  /** Tells the other side that it broke the protocol, and closes. */
+  final void violation(String detail) {
+    if (state == State.CLOSED) {
+      return;
+    }
+    shared.metrics().violation();
+    LOG.log(Level.WARNING, "closing link to {0}: {1}", context.channel().remoteAddress(), detail);
+    ProtocolError error =
+        ProtocolError.newBuilder()
+            .setKind(ErrorKind.PROTOCOL_VIOLATION.name())
+            .setDetail(detail)
+            .build();
+    write(Frame.newBuilder().setError(error).build()).addListener(ChannelFutureListener.CLOSE);
+    finish("protocol violation: " + detail);
+  }
+
+  /** Closes the connection. */
+  final void close(String reason) {
+    closeReason = reason;
+    var unused = context.close();
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext ctx) {
+    finish(closeReason);
+  }
+
+  private void finish(String reason) {
+    if (state == State.CLOSED) {
+      return;
+    }
+    state = State.CLOSED;
+    timer.cancel(false);
+    closed(reason);
+  }
+
+  @Override
+  public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+    if (hasRoom()) {
+      drainStreams();
+    }
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+    if (cause instanceof DecoderException) {
+      violation("malformed frame: " + cause.getMessage());
+    } else {
+      LOG.log(Level.DEBUG, "link failed", cause);
+      close("connection failed: " + cause.getMessage());
+    }
+  }
+
+  /** What all links of a node share. */
+  record LinkContext(
+      LinkSettings settings, LinkIdentity identity, LinkMetrics metrics, LongSupplier clock) {}
+}
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/connection/link/ClientLink.java
@@ -0,0 +1,236 @@
+package io.foxtaildoor.connection.link;
+
+import io.foxtaildoor.common.ErrorKind;
+import io.foxtaildoor.process.invariant.Invariant;
+import io.foxtaildoor.process.invariant.Invariants;
+import io.foxtaildoor.protocol.Frame;
+import io.foxtaildoor.protocol.Hello;
+import io.foxtaildoor.protocol.LinkPurpose;
+import io.foxtaildoor.protocol.ResponseStart;
+import io.foxtaildoor.protocol.StreamFailure;
+import io.foxtaildoor.protocol.WindowUpdate;
+import io.netty.channel.ChannelHandlerContext;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.agrona.collections.Long2ObjectHashMap;
+
+/** The opener's end of a link that carries request streams. */
+final class ClientLink extends AbstractLink {
+  private final String expectedNodeId;
+  private final Invariants invariants;
+  private final Owner owner;
+  private final Long2ObjectHashMap<ClientStream> streams = new Long2ObjectHashMap<>();
+  private final List<ClientStream> waiting = new ArrayList<>();
+  private long lastStream;
+  private boolean goingAway;
+  private long idleSinceNanos;
+
+  /** Hears of changes of a link on its event loop. */
+  interface Owner {
+    /** The handshake is done. */
+    void linkOpened(ClientLink link);
+
+    /** The link takes no new streams. */
+    void linkGoingAway(ClientLink link);
+
+    /** The link is closed. */
+    void linkClosed(ClientLink link, boolean wasOpen);
+  }
+
+  ClientLink(LinkContext shared, String expectedNodeId, Invariants invariants, Owner owner) {
+    super(shared);
+    this.expectedNodeId = expectedNodeId;
+    this.invariants = invariants;
+    this.owner = owner;
+  }
+
+  @Override
+  public void channelActive(ChannelHandlerContext ctx) {
+    Hello hello = shared.identity().hello(LinkPurpose.REQUESTS, expectedNodeId);
+    send(Frame.newBuilder().setHello(hello).build());
+  }
+
+  @Override
+  Optional<String> checkHello(Hello hello) {
+    return Handshake.refuseAcceptor(shared.identity(), hello, expectedNodeId);
+  }
+
+  @Override
+  void opened(Hello hello) {
+    idleSinceNanos = shared.clock().getAsLong();
+    owner.linkOpened(this);
+    List<ClientStream> held = List.copyOf(waiting);
+    waiting.clear();
+    for (ClientStream stream : held) {
+      if (isOpen()) {
+        begin(stream);
+      } else {
+        stream.linkBroke("link closed");
+      }
+    }
+  }
+
+  /** Opens a stream, after the handshake when that is not done yet. */
+  void open(ClientStream stream) {
+    stream.attach(this);
+    if (isOpen()) {
+      begin(stream);
+    } else {
+      waiting.add(stream);
+    }
+  }
+
+  private void begin(ClientStream stream) {
+    lastStream++;
+    streams.put(lastStream, stream);
+    stream.begin(lastStream);
+  }
+
+  /** Whether a new stream may be opened. */
+  boolean usable(long nowNanos) {
+    return !isClosed() && !goingAway && !suspect(nowNanos);
+  }
+
+  int load() {
+    return streams.size() + waiting.size();
+  }
+
+  /** Forgets a finished stream; its id is not used again. */
+  void remove(ClientStream stream) {
+    if (stream.id() != 0) {
+      streams.remove(stream.id());
+    }
+    waiting.remove(stream);
+    if (load() == 0) {
+      idleSinceNanos = shared.clock().getAsLong();
+      if (goingAway) {
+        close("the other side is leaving");
+      }
+    }
+  }
+
+  void grant(long id, int bytes) {
+    WindowUpdate update = WindowUpdate.newBuilder().setStream(id).setBytes(bytes).build();
+    send(Frame.newBuilder().setWindowUpdate(update).build());
+  }
+
+  @Override
+  void received(Frame frame) {
+    String broken =
+        switch (frame.getBodyCase()) {
+          case RESPONSE_START -> {
+            ResponseStart start = frame.getResponseStart();
+            ClientStream stream = find(start.getStream());
+            yield stream == null ? unknown(start.getStream()) : start(stream, start);
+          }
+          case RESPONSE_BODY -> {
+            ClientStream stream = find(frame.getResponseBody().getStream());
+            yield stream == null
+                ? unknown(frame.getResponseBody().getStream())
+                : stream.receiveBody(frame.getResponseBody());
+          }
+          case FAILURE -> failure(frame);
+          case WINDOW_UPDATE -> {
+            ClientStream stream = find(frame.getWindowUpdate().getStream());
+            yield stream == null
+                ? unknown(frame.getWindowUpdate().getStream())
+                : stream.receiveGrant(frame.getWindowUpdate().getBytes());
+          }
+          case GO_AWAY -> {
+            goAway();
+            yield null;
+          }
+          default -> "frame " + frame.getBodyCase() + " on a request link";
+        };
+    if (broken != null) {
+      violation(broken);
+    }
+  }
+
+  private ClientStream find(long id) {
+    return streams.get(id);
+  }
+
+  /** Drops a frame of a finished stream; an id that was never used breaks the protocol. */
+  private String unknown(long id) {
+    if (id <= 0 || id > lastStream) {
+      return "frame for stream " + id + " that was never opened";
+    }
+    shared.metrics().frameDropped();
+    return null;
+  }
+
+  private String start(ClientStream stream, ResponseStart answer) {
+    boolean matches = stream.answeredBy(answer);
+    invariants.check(
+        Invariant.ANSWER_MATCHES_REQUEST,
+        matches,
+        () -> "stream " + stream.id() + " of request " + stream.requestId() + ": other answer");
+    if (!matches) {
+      return "answer for another request on stream " + stream.id();
+    }
+    return stream.receiveStart(answer);
+  }
+
+  private String failure(Frame frame) {
+    long id = frame.getFailure().getStream();
+    ClientStream stream = find(id);
+    if (stream == null) {
+      return unknown(id);
+    }
+    StreamFailure failure = LinkFailures.withKnownKind(frame.getFailure());
+    shared.metrics().streamFailed(failure.getKind());
+    stream.receiveFailure(failure);
+    return null;
+  }
+
+  private void goAway() {
+    goingAway = true;
+    owner.linkGoingAway(this);
+    if (load() == 0) {
+      close("the other side is leaving");
+    }
+  }
+
+  @Override
+  void closed(String reason) {
+    owner.linkClosed(this, lastStream > 0 || idleSinceNanos != 0);
+    List<ClientStream> held = new ArrayList<>(streams.values());
+    held.addAll(waiting);
+    streams.clear();
+    waiting.clear();
+    for (ClientStream stream : held) {
+      stream.linkBroke(reason);
+    }
+  }
+
+  /** Fails the streams that wait for a connection that could not be made. */
+  void connectFailed(String reason) {
+    owner.linkClosed(this, false);
+    List<ClientStream> held = List.copyOf(waiting);
+    waiting.clear();
+    for (ClientStream stream : held) {
+      stream.fail(ErrorKind.NODE_UNREACHABLE, true, reason);
+    }
+  }
+
+  @Override
+  void drainStreams() {
+    for (ClientStream stream : List.copyOf(streams.values())) {
+      stream.drain();
+    }
+  }
+
+  @Override
+  boolean pings() {
+    return true;
+  }
+
+  @Override
+  void heartbeat(long nowNanos) {
+    if (load() == 0 && nowNanos - idleSinceNanos >= shared.settings().idleTimeout().toNanos()) {
+      close("idle");
+    }
+  }
+}
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/connection/link/LinkSettings.java
@@ -0,0 +1,54 @@
+package io.foxtaildoor.connection.link;
+
+import java.time.Duration;
+
+/**
+ * Settings of the links between nodes.
+ *
+ * @param linksPerNode request links to one other node
+ * @param maxLinks request links to all other nodes together
+ * @param maxAccepted connections accepted from other nodes
+ * @param maxStreams open streams on one link
+ * @param connectTimeout bound for connecting and for the handshake
+ * @param pingInterval time between two pings
+ * @param pingTimeout age of an unanswered ping at which a link is closed
+ * @param idleTimeout time without a stream after which a link is closed
+ * @param backoffBase longest wait after the first failed connection attempt
+ * @param backoffMax longest wait between two connection attempts
+ * @param controlDeadline bound for one control call
+ * @param controlConnections connections for control calls to all other nodes together
+ * @param controlWaiting control calls that wait for a connection
+ */
+public record LinkSettings(
+    int linksPerNode,
+    int maxLinks,
+    int maxAccepted,
+    int maxStreams,
+    Duration connectTimeout,
+    Duration pingInterval,
+    Duration pingTimeout,
+    Duration idleTimeout,
+    Duration backoffBase,
+    Duration backoffMax,
+    Duration controlDeadline,
+    int controlConnections,
+    int controlWaiting) {
+
+  /** Settings for the deployments described in the design page. */
+  public static LinkSettings defaults() {
+    return new LinkSettings(
+        1,
+        4096,
+        16384,
+        4096,
+        Duration.ofSeconds(1),
+        Duration.ofSeconds(1),
+        Duration.ofSeconds(2),
+        Duration.ofSeconds(60),
+        Duration.ofMillis(100),
+        Duration.ofSeconds(5),
+        Duration.ofSeconds(2),
+        32,
+        1024);
+  }
+}
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/connection/link/NettyControlCaller.java
@@ -0,0 +1,235 @@
+package io.foxtaildoor.connection.link;
+
+import io.foxtaildoor.common.ErrorKind;
+import io.foxtaildoor.common.FoxtaildoorException;
+import io.foxtaildoor.connection.link.AbstractLink.LinkContext;
+import io.foxtaildoor.protocol.Frame;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+
+/** Calls other nodes over a bounded number of connections with one exchange at a time on each. */
+public final class NettyControlCaller implements ControlCaller, AutoCloseable {
+  private final EventLoopGroup group;
+  private final LinkContext shared;
+  private final Object lock = new Object();
+  private final Map<InetSocketAddress, ArrayDeque<ControlLink>> idle = new HashMap<>();
+  private final Map<ControlLink, Boolean> ticked = new HashMap<>();
+  private final Set<ControlLink> links = new HashSet<>();
+  private final ArrayDeque<ControlCall> waiting = new ArrayDeque<>();
+  private boolean closed;
+
+  /**
+   * Creates a caller without connections.
+   *
+   * @param clock monotonic nanoseconds
+   */
+  public NettyControlCaller(
+      EventLoopGroup group,
+      LinkSettings settings,
+      LinkIdentity identity,
+      LinkMetrics metrics,
+      LongSupplier clock) {
+    this.group = group;
+    this.shared = new LinkContext(settings, identity, metrics, clock);
+  }
+
+  @Override
+  public CompletableFuture<Frame> call(InetSocketAddress address, Frame request) {
+    ControlCall call = new ControlCall(address, request);
+    long deadlineNanos = shared.settings().controlDeadline().toNanos();
+    var timer = group.next().schedule(call::expire, deadlineNanos, TimeUnit.NANOSECONDS);
+    CompletableFuture<Frame> reply =
+        call.reply().whenComplete((frame, cause) -> timer.cancel(false));
+    resubmit(call);
+    return reply;
+  }
+
+  /** Gives a call that was not sent to a connection, or lets it wait for one. */
+  void resubmit(ControlCall call) {
+    ControlLink reused;
+    synchronized (lock) {
+      if (closed) {
+        call.fail(new FoxtaildoorException(ErrorKind.NODE_UNREACHABLE, "caller is closed"));
+        return;
+      }
+      reused = pollIdle(call.address());
+      if (reused == null && links.size() >= shared.settings().controlConnections()) {
+        queue(call);
+        return;
+      }
+      if (reused == null) {
+        connect(call);
+        return;
+      }
+      call.assign(reused);
+    }
+    reused.context().executor().execute(() -> reused.begin(call));
+  }
+
+  private ControlLink pollIdle(InetSocketAddress address) {
+    ArrayDeque<ControlLink> links = idle.get(address);
+    if (links == null) {
+      return null;
+    }
+    ControlLink link = links.pollLast();
+    ticked.remove(link);
+    if (links.isEmpty()) {
+      idle.remove(address);
+    }
+    return link;
+  }
+
+  private void queue(ControlCall call) {
+    waiting.removeIf(ControlCall::isDone);
+    if (waiting.size() >= shared.settings().controlWaiting()) {
+      call.fail(new FoxtaildoorException(ErrorKind.OVERLOADED, "too many control calls"));
+      return;
+    }
+    waiting.add(call);
+    // A connection without an exchange gives its place to a call to another node.
+    for (ArrayDeque<ControlLink> unused : idle.values()) {
+      ControlLink evicted = unused.peekFirst();
+      evicted.context().executor().execute(() -> evictIdle(evicted));
+      return;
+    }
+  }
+
+  private void evictIdle(ControlLink link) {
+    if (removeIdle(link)) {
+      link.close("connection is needed for another node");
+    }
+  }
+
+  private boolean removeIdle(ControlLink link) {
+    synchronized (lock) {
+      ArrayDeque<ControlLink> links = idle.get(link.address());
+      if (links == null || !links.remove(link)) {
+        return false;
+      }
+      ticked.remove(link);
+      if (links.isEmpty()) {
+        idle.remove(link.address());
+      }
+      return true;
+    }
+  }
+
+  private void connect(ControlCall call) {
+    ControlLink link = new ControlLink(shared, call.address(), this, call);
+    call.assign(link);
+    links.add(link);
+    new Bootstrap()
+        .group(group)
+        .channel(NioSocketChannel.class)
+        .option(ChannelOption.TCP_NODELAY, true)
+        .option(
+            ChannelOption.CONNECT_TIMEOUT_MILLIS,
+            Math.toIntExact(shared.settings().connectTimeout().toMillis()))
+        .handler(
+            new ChannelInitializer<SocketChannel>() {
+              @Override
+              protected void initChannel(SocketChannel channel) {
+                FrameCodec.install(channel.pipeline());
+                channel.pipeline().addLast(link);
+              }
+            })
+        .connect(call.address())
+        .addListener(
+            (ChannelFuture done) -> {
+              if (!done.isSuccess()) {
+                link.connectFailed(done.cause());
+              }
+            });
+  }
+
+  /** The exchange of a connection is finished. */
+  void released(ControlLink link) {
+    ControlCall next;
+    synchronized (lock) {
+      next = nextWaiting();
+      if (next == null && !closed) {
+        idle.computeIfAbsent(link.address(), address -> new ArrayDeque<>()).add(link);
+        return;
+      }
+      if (next != null && !next.address().equals(link.address())) {
+        waiting.addFirst(next);
+        next = null;
+      }
+      if (next != null) {
+        next.assign(link);
+      }
+    }
+    ControlCall reusing = next;
+    if (reusing == null) {
+      link.close("connection is needed for another node");
+    } else {
+      link.begin(reusing);
+    }
+  }
+
+  private ControlCall nextWaiting() {
+    ControlCall next = waiting.poll();
+    while (next != null && next.isDone()) {
+      next = waiting.poll();
+    }
+    return next;
+  }
+
+  /** A connection ended; its place goes to the next call. */
+  void closed(ControlLink link) {
+    synchronized (lock) {
+      removeIdle(link);
+      if (links.remove(link) && !closed) {
+        ControlCall next = nextWaiting();
+        if (next != null) {
+          connect(next);
+        }
+      }
+    }
+  }
+
+  /** Takes an idle connection out of use at its second heartbeat without an exchange. */
+  boolean retireIdle(ControlLink link) {
+    synchronized (lock) {
+      ArrayDeque<ControlLink> links = idle.get(link.address());
+      boolean isIdle = links != null && links.contains(link);
+      return isIdle && ticked.put(link, true) != null && removeIdle(link);
+    }
+  }
+
+  @Override
+  public void close() {
+    List<ControlLink> open;
+    List<ControlCall> unsent;
+    synchronized (lock) {
+      closed = true;
+      open = new ArrayList<>(links);
+      unsent = new ArrayList<>(waiting);
+      waiting.clear();
+    }
+    for (ControlCall call : unsent) {
+      call.fail(new FoxtaildoorException(ErrorKind.NODE_UNREACHABLE, "caller is closed"));
+    }
+    for (ControlLink link : open) {
+      if (link.context() != null) {
+        link.context().executor().execute(() -> link.close("caller is closed"));
+      }
+    }
+  }
+}
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/connection/link/SendBuffer.java
@@ -0,0 +1,104 @@
+package io.foxtaildoor.connection.link;
+
+import com.google.protobuf.ByteString;
+import io.foxtaildoor.protocol.BodyChunk;
+import io.netty.buffer.ByteBuf;
+import java.util.ArrayDeque;
+import java.util.function.Consumer;
+
+/** Body bytes of one direction of a stream that wait for the window; used on one event loop. */
+final class SendBuffer {
+  /** Window of a stream in each direction, in bytes. */
+  static final int WINDOW_BYTES = 64 * 1024;
+
+  /** Largest body chunk; small enough that chunks of other streams get between. */
+  static final int CHUNK_BYTES = 16 * 1024;
+
+  /** Bytes that wait before the sender is told to stop. */
+  static final int HIGH_WATER_BYTES = WINDOW_BYTES;
+
+  /** Bytes that may wait at all; a sender that does not stop loses its stream. */
+  static final int LIMIT_BYTES = 1 << 20;
+
+  private final ArrayDeque<ByteBuf> waiting = new ArrayDeque<>();
+  private int waitingBytes;
+  private int window = WINDOW_BYTES;
+  private boolean endQueued;
+  private boolean endSent;
+
+  /** Queues data and takes its ownership; gives false when the buffer is over its limit. */
+  boolean add(ByteBuf data, boolean end) {
+    if (endQueued) {
+      data.release();
+      return true;
+    }
+    endQueued = end;
+    if (data.isReadable()) {
+      waitingBytes += data.readableBytes();
+      waiting.add(data);
+    } else {
+      data.release();
+    }
+    return waitingBytes <= LIMIT_BYTES;
+  }
+
+  /** Gives the next chunk that the window admits to the sink; false when there is none. */
+  boolean sendNext(long stream, Consumer<BodyChunk> sink) {
+    if (endSent) {
+      return false;
+    }
+    int bytes = Math.min(Math.min(waitingBytes, window), CHUNK_BYTES);
+    boolean last = endQueued && bytes == waitingBytes;
+    if (bytes == 0 && !last) {
+      return false;
+    }
+    ByteString data = take(bytes);
+    window -= bytes;
+    endSent = last;
+    sink.accept(BodyChunk.newBuilder().setStream(stream).setData(data).setEnd(last).build());
+    return true;
+  }
+
+  private ByteString take(int bytes) {
+    byte[] taken = new byte[bytes];
+    int offset = 0;
+    while (offset < bytes) {
+      ByteBuf first = waiting.element();
+      int part = Math.min(bytes - offset, first.readableBytes());
+      first.readBytes(taken, offset, part);
+      offset += part;
+      if (!first.isReadable()) {
+        waiting.remove().release();
+      }
+    }
+    waitingBytes -= bytes;
+    return ByteString.copyFrom(taken);
+  }
+
+  /** Adds to the window; gives false when it would pass its full size. */
+  boolean grant(int bytes) {
+    if (bytes <= 0 || bytes > WINDOW_BYTES - window) {
+      return false;
+    }
+    window += bytes;
+    return true;
+  }
+
+  boolean belowHighWater() {
+    return waitingBytes < HIGH_WATER_BYTES;
+  }
+
+  /** Whether the whole body was given to the sink. */
+  boolean ended() {
+    return endSent;
+  }
+
+  /** Drops what waits. */
+  void release() {
+    waiting.forEach(ByteBuf::release);
+    waiting.clear();
+    waitingBytes = 0;
+    endQueued = true;
+    endSent = true;
+  }
+}
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/connection/link/ServerLink.java
@@ -0,0 +1,237 @@
+package io.foxtaildoor.connection.link;
+
+import io.foxtaildoor.common.ErrorKind;
+import io.foxtaildoor.common.FoxtaildoorException;
+import io.foxtaildoor.protocol.Frame;
+import io.foxtaildoor.protocol.GoAway;
+import io.foxtaildoor.protocol.Hello;
+import io.foxtaildoor.protocol.LinkPurpose;
+import io.foxtaildoor.protocol.ProtocolError;
+import io.foxtaildoor.protocol.RequestStart;
+import io.foxtaildoor.protocol.StreamFailure;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.EventLoop;
+import java.lang.System.Logger.Level;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.agrona.collections.Long2ObjectHashMap;
+
+/** The acceptor's end of a connection; carries streams or control frames, as the opener says. */
+final class ServerLink extends AbstractLink {
+  private static final System.Logger LOG = System.getLogger(ServerLink.class.getName());
+
+  private final StreamAcceptor acceptor;
+  private final Map<Frame.BodyCase, ControlHandler> controls;
+  private final Owner owner;
+  private final Long2ObjectHashMap<ServerStream> streams = new Long2ObjectHashMap<>();
+  private LinkPurpose purpose = LinkPurpose.UNRECOGNIZED;
+  private long lastStream;
+  private long lastFrameNanos;
+  private boolean leaving;
+
+  /** Hears of the accepted links. */
+  interface Owner {
+    /** The handshake is done; gives true when the node is leaving. */
+    boolean linkOpened(ServerLink link);
+
+    /** A stream was accepted. */
+    void streamOpened();
+
+    /** An accepted stream ended. */
+    void streamClosed();
+
+    /** The link is closed. */
+    void linkClosed(ServerLink link);
+  }
+
+  ServerLink(
+      LinkContext shared,
+      StreamAcceptor acceptor,
+      Map<Frame.BodyCase, ControlHandler> controls,
+      Owner owner) {
+    super(shared);
+    this.acceptor = acceptor;
+    this.controls = controls;
+    this.owner = owner;
+  }
+
+  @Override
+  Optional<String> checkHello(Hello hello) {
+    if (hello.getPurpose() == LinkPurpose.UNRECOGNIZED) {
+      return Optional.of("unknown purpose of the connection");
+    }
+    return Handshake.refuseOpener(shared.identity(), hello);
+  }
+
+  @Override
+  void opened(Hello hello) {
+    purpose = hello.getPurpose();
+    lastFrameNanos = shared.clock().getAsLong();
+    reply(Frame.newBuilder().setHello(shared.identity().hello(purpose, hello.getNodeId())).build());
+    if (owner.linkOpened(this)) {
+      goAway();
+    }
+  }
+
+  /** Tells the other side that new streams are refused. */
+  void goAway() {
+    if (isOpen() && !leaving && purpose == LinkPurpose.REQUESTS) {
+      leaving = true;
+      reply(Frame.newBuilder().setGoAway(GoAway.newBuilder().setReason("leaving")).build());
+    }
+  }
+
+  void reply(Frame frame) {
+    send(frame);
+  }
+
+  @Override
+  void received(Frame frame) {
+    lastFrameNanos = shared.clock().getAsLong();
+    if (purpose == LinkPurpose.CONTROL) {
+      control(frame);
+      return;
+    }
+    String broken =
+        switch (frame.getBodyCase()) {
+          case REQUEST_START -> start(frame.getRequestStart());
+          case REQUEST_BODY -> {
+            ServerStream stream = streams.get(frame.getRequestBody().getStream());
+            yield stream == null
+                ? unknown(frame.getRequestBody().getStream())
+                : stream.receiveBody(frame.getRequestBody());
+          }
+          case WINDOW_UPDATE -> {
+            ServerStream stream = streams.get(frame.getWindowUpdate().getStream());
+            yield stream == null
+                ? unknown(frame.getWindowUpdate().getStream())
+                : stream.receiveGrant(frame.getWindowUpdate().getBytes());
+          }
+          case CANCEL -> cancel(frame);
+          default -> "frame " + frame.getBodyCase() + " on a request link";
+        };
+    if (broken != null) {
+      violation(broken);
+    }
+  }
+
+  private String unknown(long id) {
+    if (id <= 0 || id > lastStream) {
+      return "frame for stream " + id + " that was never opened";
+    }
+    shared.metrics().frameDropped();
+    return null;
+  }
+
+  private String cancel(Frame frame) {
+    ServerStream stream = streams.get(frame.getCancel().getStream());
+    if (stream == null) {
+      return unknown(frame.getCancel().getStream());
+    }
+    stream.abandon(frame.getCancel().getReason());
+    return null;
+  }
+
+  private String start(RequestStart head) {
+    long id = head.getStream();
+    if (id <= lastStream) {
+      return "stream id " + id + " is used again";
+    }
+    lastStream = id;
+    if (leaving) {
+      refuse(id, ErrorKind.LEAVING, "node is leaving");
+      return null;
+    }
+    if (streams.size() >= shared.settings().maxStreams()) {
+      refuse(id, ErrorKind.OVERLOADED, "too many streams on the link");
+      return null;
+    }
+    ServerStream stream = new ServerStream(this, (EventLoop) context().executor(), head);
+    streams.put(id, stream);
+    owner.streamOpened();
+    try {
+      stream.listen(acceptor.accept(head, stream));
+    } catch (RuntimeException e) {
+      LOG.log(Level.ERROR, "request was not accepted", e);
+      stream.fail(LinkFailures.of(ErrorKind.INTERNAL, false, "request was not accepted"));
+    }
+    return null;
+  }
+
+  private void refuse(long id, ErrorKind kind, String detail) {
+    StreamFailure failure = LinkFailures.of(kind, true, detail).toBuilder().setStream(id).build();
+    reply(Frame.newBuilder().setFailure(failure).build());
+  }
+
+  /** Answers a control frame; replies keep the order of the requests. */
+  private void control(Frame request) {
+    ControlHandler handler = controls.get(request.getBodyCase());
+    if (handler == null) {
+      violation("frame " + request.getBodyCase() + " on a control link");
+      return;
+    }
+    try {
+      reply(handler.handle(request));
+    } catch (FoxtaildoorException e) {
+      reply(error(e.kind(), e.getMessage()));
+    } catch (RuntimeException e) {
+      LOG.log(Level.ERROR, "control frame was not handled", e);
+      reply(error(ErrorKind.INTERNAL, "control frame was not handled"));
+    }
+  }
+
+  private static Frame error(ErrorKind kind, String detail) {
+    return Frame.newBuilder()
+        .setError(ProtocolError.newBuilder().setKind(kind.name()).setDetail(detail))
+        .build();
+  }
+
+  /** Forgets a finished stream. */
+  void remove(ServerStream stream) {
+    if (streams.remove(stream.id()) != null) {
+      owner.streamClosed();
+    }
+  }
+
+  @Override
+  void closed(String reason) {
+    for (ServerStream stream : List.copyOf(streams.values())) {
+      stream.abandon(reason);
+    }
+    owner.linkClosed(this);
+  }
+
+  @Override
+  void drainStreams() {
+    for (ServerStream stream : List.copyOf(streams.values())) {
+      stream.drain();
+    }
+  }
+
+  @Override
+  public void channelReadComplete(ChannelHandlerContext ctx) {
+    // A control peer that reads no replies is not read from either, which bounds the replies held.
+    ctx.channel().config().setAutoRead(purpose != LinkPurpose.CONTROL || hasRoom() || !isOpen());
+    ctx.fireChannelReadComplete();
+  }
+
+  @Override
+  public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+    ctx.channel().config().setAutoRead(true);
+    super.channelWritabilityChanged(ctx);
+  }
+
+  @Override
+  boolean pings() {
+    return purpose == LinkPurpose.REQUESTS;
+  }
+
+  @Override
+  void heartbeat(long nowNanos) {
+    boolean idle = nowNanos - lastFrameNanos >= shared.settings().idleTimeout().toNanos();
+    if (idle && purpose == LinkPurpose.CONTROL) {
+      close("idle");
+    }
+  }
+}
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/connection/link/ServerStream.java
@@ -0,0 +1,204 @@
+package io.foxtaildoor.connection.link;
+
+import io.foxtaildoor.protocol.BodyChunk;
+import io.foxtaildoor.protocol.Frame;
+import io.foxtaildoor.protocol.Header;
+import io.foxtaildoor.protocol.RequestStart;
+import io.foxtaildoor.protocol.ResponseStart;
+import io.foxtaildoor.protocol.StreamFailure;
+import io.foxtaildoor.protocol.WindowUpdate;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+
+/** The answering end of a stream; its state is confined to the event loop of its link. */
+final class ServerStream implements ResponseStream {
+  private final ServerLink link;
+  private final EventLoop loop;
+  private final long id;
+  private final String requestId;
+  private final SendBuffer body = new SendBuffer();
+  private final ReceiveWindow window = new ReceiveWindow();
+  private RequestListener listener;
+  private boolean requestEnded;
+  private boolean started;
+  private boolean finished;
+  private volatile boolean writable = true;
+
+  ServerStream(ServerLink link, EventLoop loop, RequestStart head) {
+    this.link = link;
+    this.loop = loop;
+    this.id = head.getStream();
+    this.requestId = head.getRequestId();
+    this.requestEnded = head.getEnd();
+  }
+
+  void listen(RequestListener newListener) {
+    listener = newListener;
+  }
+
+  long id() {
+    return id;
+  }
+
+  @Override
+  public void start(ResponseStart head) {
+    onLoop(
+        () -> {
+          if (!finished && !started) {
+            started = true;
+            link.reply(Frame.newBuilder().setResponseStart(named(head)).build());
+            if (head.getEnd()) {
+              finish();
+            }
+          }
+        });
+  }
+
+  /** Names the request in its answer; an upstream's own header of that name is replaced. */
+  private ResponseStart named(ResponseStart head) {
+    ResponseStart.Builder named = head.toBuilder().setStream(id).clearHeaders();
+    for (Header header : head.getHeadersList()) {
+      if (!header.getName().equalsIgnoreCase(ClientStream.REQUEST_ID)) {
+        named.addHeaders(header);
+      }
+    }
+    return named
+        .addHeaders(Header.newBuilder().setName(ClientStream.REQUEST_ID).setValue(requestId))
+        .build();
+  }
+
+  @Override
+  public void send(ByteBuf data, boolean end) {
+    onLoop(
+        () -> {
+          if (finished || !started) {
+            data.release();
+          } else if (!body.add(data, end)) {
+            link.reply(failure(LinkFailures.overflow()));
+            cancelled("response body is sent faster than it is taken");
+            finish();
+          } else {
+            drain();
+          }
+        });
+  }
+
+  /** Sends what the window and the link admit. */
+  void drain() {
+    if (finished) {
+      return;
+    }
+    boolean more = link.hasRoom();
+    while (more) {
+      more = body.sendNext(id, this::sendChunk) && link.hasRoom();
+    }
+    if (body.ended()) {
+      finish();
+      return;
+    }
+    boolean below = body.belowHighWater() && link.hasRoom();
+    boolean resumed = below && !writable;
+    writable = below;
+    if (resumed && listener != null) {
+      LinkFailures.guard(listener::writable);
+    }
+  }
+
+  private void sendChunk(BodyChunk chunk) {
+    link.reply(Frame.newBuilder().setResponseBody(chunk).build());
+  }
+
+  @Override
+  public void fail(StreamFailure failure) {
+    onLoop(
+        () -> {
+          if (!finished) {
+            link.reply(failure(failure));
+            finish();
+          }
+        });
+  }
+
+  private Frame failure(StreamFailure failure) {
+    return Frame.newBuilder().setFailure(failure.toBuilder().setStream(id)).build();
+  }
+
+  @Override
+  public boolean isWritable() {
+    return writable;
+  }
+
+  @Override
+  public void consumed(int bytes) {
+    onLoop(
+        () -> {
+          int granted = window.consume(bytes);
+          if (granted > 0 && !finished && !requestEnded) {
+            WindowUpdate update = WindowUpdate.newBuilder().setStream(id).setBytes(granted).build();
+            link.reply(Frame.newBuilder().setWindowUpdate(update).build());
+          }
+        });
+  }
+
+  @Override
+  public EventLoop eventLoop() {
+    return loop;
+  }
+
+  /** Takes a part of the request; gives a detail when the frame breaks the protocol. */
+  String receiveBody(BodyChunk chunk) {
+    int bytes = chunk.getData().size();
+    if (requestEnded) {
+      return "request body after its end on stream " + id;
+    }
+    if (bytes > SendBuffer.CHUNK_BYTES || (bytes == 0 && !chunk.getEnd())) {
+      return "body chunk of " + bytes + " bytes on stream " + id;
+    }
+    if (!window.receive(bytes)) {
+      return "window exceeded on stream " + id;
+    }
+    requestEnded = chunk.getEnd();
+    ByteBuf data = Unpooled.wrappedBuffer(chunk.getData().asReadOnlyByteBuffer());
+    LinkFailures.guard(() -> listener.body(data, requestEnded));
+    return null;
+  }
+
+  /** Adds to the window; gives a detail when the frame breaks the protocol. */
+  String receiveGrant(int bytes) {
+    if (!body.grant(bytes)) {
+      return "window update of " + bytes + " bytes on stream " + id;
+    }
+    drain();
+    return null;
+  }
+
+  /** The caller gave up or the link broke. */
+  void abandon(String reason) {
+    if (!finished) {
+      finish();
+      cancelled(reason);
+    }
+  }
+
+  private void cancelled(String reason) {
+    if (listener != null) {
+      LinkFailures.guard(() -> listener.cancelled(reason));
+    }
+  }
+
+  private void finish() {
+    finished = true;
+    writable = false;
+    body.release();
+    link.remove(this);
+  }
+
+  private void onLoop(Runnable action) {
+    if (loop.inEventLoop()) {
+      action.run();
+    } else {
+      loop.execute(action);
+    }
+  }
+}
