--- /dev/null
+++ b/product/src/test/java/io/foxtaildoor/connection/link/FrameCodecTest.java
@@ -0,0 +1,68 @@
+package io.foxtaildoor.connection.link;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNull;
+import static org.testng.Assert.expectThrows;
+
+import com.google.protobuf.ByteString;
+import io.foxtaildoor.protocol.BodyChunk;
+import io.foxtaildoor.protocol.Frame;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.DecoderException;
+import java.util.SplittableRandom;
+import org.testng.annotations.Test;
+
+/** Tests of {@link FrameCodec}. */
+public class FrameCodecTest {
+  private static EmbeddedChannel channel() {
+    EmbeddedChannel channel = new EmbeddedChannel();
+    FrameCodec.install(channel.pipeline());
+    return channel;
+  }
+
+  /** Guards against a frame that does not survive the wire or is read before it is whole. */
+  @Test
+  public void readsFrameInPieces() {
+    Frame frame =
+        Frame.newBuilder()
+            .setRequestBody(
+                BodyChunk.newBuilder().setStream(7).setData(ByteString.copyFromUtf8("abc")))
+            .build();
+    EmbeddedChannel channel = channel();
+    channel.writeOutbound(frame);
+    ByteBuf wire = channel.readOutbound();
+    while (wire.readableBytes() > 1) {
+      channel.writeInbound(wire.readBytes(1));
+      assertNull(channel.readInbound());
+    }
+    channel.writeInbound(wire);
+    assertEquals(channel.readInbound(), frame);
+  }
+
+  /** Guards against a length field that makes the node allocate or wait for a huge frame. */
+  @Test
+  public void refusesOversizedFrames() {
+    ByteBuf wire = Unpooled.buffer().writeInt(FrameCodec.MAX_FRAME_BYTES + 1).writeZero(10);
+    expectThrows(DecoderException.class, () -> channel().writeInbound(wire));
+  }
+
+  /** Guards against random bytes that end in anything but a decoder error or a frame. */
+  @Test
+  public void randomBytesGiveDecoderErrorsOnly() {
+    SplittableRandom random = new SplittableRandom(42);
+    for (int i = 0; i < 2000; i++) {
+      byte[] bytes = new byte[random.nextInt(1, 60)];
+      random.nextBytes(bytes);
+      EmbeddedChannel channel = channel();
+      try {
+        channel.writeInbound(Unpooled.buffer().writeInt(bytes.length).writeBytes(bytes));
+        assertFalse(channel.inboundMessages().isEmpty());
+      } catch (DecoderException e) {
+        assertNull(channel.readInbound());
+      }
+    }
+  }
+}
--- /dev/null
+++ b/product/src/test/java/io/foxtaildoor/connection/link/PeerListenerTest.java
@@ -0,0 +1,211 @@
+package io.foxtaildoor.connection.link;
+
+import static io.foxtaildoor.connection.link.LinkFixture.await;
+import static io.foxtaildoor.connection.link.LinkFixture.head;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNotNull;
+import static org.testng.Assert.assertTrue;
+
+import com.google.protobuf.ByteString;
+import io.foxtaildoor.common.ErrorKind;
+import io.foxtaildoor.protocol.BodyChunk;
+import io.foxtaildoor.protocol.CancelStream;
+import io.foxtaildoor.protocol.Frame;
+import io.foxtaildoor.protocol.Hello;
+import io.foxtaildoor.protocol.LinkPurpose;
+import io.foxtaildoor.protocol.Pong;
+import io.foxtaildoor.protocol.WindowUpdate;
+import io.netty.buffer.ByteBuf;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests of {@link PeerListener} with raw peers. */
+public class PeerListenerTest {
+  private LinkFixture fixture;
+  private CompletableFuture<String> cancelled;
+  private BlockingQueue<ResponseStream> accepted;
+
+  @BeforeMethod
+  public void start() {
+    cancelled = new CompletableFuture<>();
+    accepted = new LinkedBlockingQueue<>();
+    fixture =
+        new LinkFixture(
+            (head, response) -> {
+              accepted.add(response);
+              return new RequestListener() {
+                @Override
+                public void body(ByteBuf data, boolean end) {
+                  data.release();
+                }
+
+                @Override
+                public void cancelled(String reason) {
+                  cancelled.complete(reason);
+                }
+
+                @Override
+                public void writable() {}
+              };
+            },
+            Map.of());
+  }
+
+  @AfterMethod
+  public void stop() {
+    fixture.close();
+  }
+
+  private LinkFixture.RawPeer opened() throws Exception {
+    LinkFixture.RawPeer peer = LinkFixture.RawPeer.connect(fixture.address);
+    peer.hello("client", LinkPurpose.REQUESTS, "server");
+    assertEquals(peer.read().getBodyCase(), Frame.BodyCase.HELLO);
+    return peer;
+  }
+
+  private ResponseStream next() throws InterruptedException {
+    ResponseStream stream = accepted.poll(LinkFixture.WAIT_SECONDS, TimeUnit.SECONDS);
+    assertNotNull(stream);
+    return stream;
+  }
+
+  private static Frame start(long stream, boolean end) {
+    return Frame.newBuilder()
+        .setRequestStart(head("r" + stream, end).toBuilder().setStream(stream))
+        .build();
+  }
+
+  private static Frame body(long stream, int bytes, boolean end) {
+    return Frame.newBuilder()
+        .setRequestBody(
+            BodyChunk.newBuilder()
+                .setStream(stream)
+                .setData(ByteString.copyFrom(new byte[bytes]))
+                .setEnd(end))
+        .build();
+  }
+
+  @DataProvider
+  public Object[][] brokenSequences() {
+    Frame hello =
+        Frame.newBuilder()
+            .setHello(LinkFixture.identity("x").hello(LinkPurpose.REQUESTS, ""))
+            .build();
+    Frame grant =
+        Frame.newBuilder()
+            .setWindowUpdate(WindowUpdate.newBuilder().setStream(1).setBytes(1))
+            .build();
+    Frame pong = Frame.newBuilder().setPong(Pong.newBuilder().setSequence(1L << 40)).build();
+    Frame chunk = body(1, SendBuffer.CHUNK_BYTES, false);
+    return new Object[][] {
+      {"stream id zero", List.of(start(0, true))},
+      {"same stream id again", List.of(start(1, false), start(1, false))},
+      {"smaller stream id", List.of(start(5, false), start(3, false))},
+      {"body of a stream never opened", List.of(body(1, 1, true))},
+      {"body after its end", List.of(start(1, true), body(1, 1, true))},
+      {"chunk too large", List.of(start(1, false), body(1, SendBuffer.CHUNK_BYTES + 1, false))},
+      {"empty chunk", List.of(start(1, false), body(1, 0, false))},
+      {"window exceeded", List.of(start(1, false), chunk, chunk, chunk, chunk, chunk)},
+      {"window update above the window", List.of(start(1, false), grant)},
+      {"second hello", List.of(hello)},
+      {"frame without a body", List.of(Frame.getDefaultInstance())},
+      {"pong without a ping", List.of(pong)},
+    };
+  }
+
+  /** Guards against a broken peer that keeps a link alive or reaches the wrong stream. */
+  @Test(dataProvider = "brokenSequences")
+  public void closesBrokenLinksWithAnError(String name, List<Frame> frames) throws Exception {
+    try (LinkFixture.RawPeer peer = opened()) {
+      for (Frame frame : frames) {
+        peer.write(frame);
+      }
+      Frame reply = peer.read();
+      assertEquals(reply.getBodyCase(), Frame.BodyCase.ERROR, name);
+      assertEquals(reply.getError().getKind(), ErrorKind.PROTOCOL_VIOLATION.name());
+      assertTrue(peer.atEnd(), name);
+    }
+  }
+
+  @DataProvider
+  public Object[][] brokenBytes() {
+    return new Object[][] {
+      {"oversized", new byte[] {0x7f, 0, 0, 0, 1, 2, 3}},
+      {"negative length", new byte[] {-1, -1, -1, -1, 0}},
+      {"no protobuf", new byte[] {0, 0, 0, 3, -1, -1, -1}},
+      {"empty frame", new byte[] {0, 0, 0, 0}},
+    };
+  }
+
+  /** Guards against malformed bytes that leave a half-open connection behind. */
+  @Test(dataProvider = "brokenBytes")
+  public void closesOnMalformedBytes(String name, byte[] bytes) throws Exception {
+    try (LinkFixture.RawPeer peer = opened()) {
+      peer.writeRaw(bytes);
+      assertEquals(peer.read().getBodyCase(), Frame.BodyCase.ERROR, name);
+      assertTrue(peer.atEnd(), name);
+    }
+  }
+
+  @DataProvider
+  public Object[][] wrongHellos() {
+    Hello good = LinkFixture.identity("client").hello(LinkPurpose.REQUESTS, "server");
+    return new Object[][] {
+      {good.toBuilder().setCluster("other").build()},
+      {good.toBuilder().setExpectedNodeId("former-node").build()},
+      {good.toBuilder().setMinProtocol(2).setMaxProtocol(3).build()},
+      {good.toBuilder().setPurposeValue(9).build()},
+    };
+  }
+
+  /** Guards against work that reaches a node of another cluster or a reused address. */
+  @Test(dataProvider = "wrongHellos")
+  public void refusesWrongHello(Hello hello) throws Exception {
+    try (LinkFixture.RawPeer peer = LinkFixture.RawPeer.connect(fixture.address)) {
+      peer.write(Frame.newBuilder().setHello(hello).build());
+      assertEquals(peer.read().getBodyCase(), Frame.BodyCase.ERROR);
+      assertTrue(peer.atEnd());
+    }
+  }
+
+  /** Guards against an upstream that goes on working for a caller that is gone. */
+  @Test
+  public void resetCancelsStreams() throws Exception {
+    LinkFixture.RawPeer peer = opened();
+    peer.write(start(1, false));
+    next();
+    peer.reset();
+    await(cancelled);
+    await(fixture.listener.beginDrain());
+  }
+
+  /** Guards against a cancel or body that crosses the end of its stream and closes the link. */
+  @Test
+  public void dropsFramesOfFinishedStreams() throws Exception {
+    try (LinkFixture.RawPeer peer = opened()) {
+      peer.write(start(1, false));
+      next().fail(LinkFailures.of(ErrorKind.OVERLOADED, true, "full"));
+      assertEquals(peer.read().getBodyCase(), Frame.BodyCase.FAILURE);
+      peer.write(body(1, 10, true));
+      peer.write(Frame.newBuilder().setCancel(CancelStream.newBuilder().setStream(1)).build());
+      peer.write(start(2, true));
+      next();
+      assertFalse(fixture.listener.beginDrain().isDone());
+      assertEquals(peer.read().getBodyCase(), Frame.BodyCase.GO_AWAY);
+      peer.write(start(3, true));
+      Frame refusal = peer.read();
+      assertEquals(refusal.getFailure().getKind(), ErrorKind.LEAVING.name());
+      assertTrue(refusal.getFailure().getNotRun());
+      assertEquals(fixture.metrics.framesDropped(), 2);
+    }
+  }
+}
--- /dev/null
+++ b/product/src/test/java/io/foxtaildoor/connection/link/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the links between nodes. */
+package io.foxtaildoor.connection.link;
