Add upstream selection, retry policy and keyed request memory

Cause: the caller's side needs to choose instances, to bound retries and to send repeats of keyed requests to the node that knows the key.

--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/request/balance/BalanceSettings.java
@@ -0,0 +1,44 @@
+package io.foxtaildoor.request.balance;
+
+import java.time.Duration;
+
+/**
+ * Parameters of the upstream selection.
+ *
+ * @param latencyWindow time constant of the latency average
+ * @param latencyMemory time constant with which an instance without samples returns to the mean
+ * @param reportLifetime age at which a load report has lost all weight
+ * @param slowStart time over which a new or restored instance reaches its full share
+ * @param slowStartShare share of a new instance at its start, of 1
+ * @param spillOccupancy occupied share of the limit at which farther instances are considered
+ * @param consecutiveFailures failures in a row that eject an instance
+ * @param firstEjection length of the first ejection; doubles with each failed probe
+ * @param longestEjection upper bound of an ejection
+ * @param riskyProbeDelay further time after which work that cannot be retried may probe
+ */
+public record BalanceSettings(
+    Duration latencyWindow,
+    Duration latencyMemory,
+    Duration reportLifetime,
+    Duration slowStart,
+    double slowStartShare,
+    double spillOccupancy,
+    int consecutiveFailures,
+    Duration firstEjection,
+    Duration longestEjection,
+    Duration riskyProbeDelay) {
+  /** The values of the design page and, where it leaves them open, those of the comparison tool. */
+  public static BalanceSettings defaults() {
+    return new BalanceSettings(
+        Duration.ofSeconds(2),
+        Duration.ofSeconds(10),
+        Duration.ofSeconds(1),
+        Duration.ofSeconds(10),
+        0.1,
+        0.75,
+        5,
+        Duration.ofSeconds(1),
+        Duration.ofSeconds(60),
+        Duration.ofSeconds(5));
+  }
+}
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/request/balance/InstanceState.java
@@ -0,0 +1,180 @@
+package io.foxtaildoor.request.balance;
+
+import io.foxtaildoor.process.membership.NodeRecord;
+import io.foxtaildoor.process.membership.UpstreamAnnouncement;
+
+/** What this node observed of one instance; guarded by the lock of its service. */
+final class InstanceState {
+  /** Successes in a row after which a former ejection no longer lengthens the next one. */
+  private static final int SUCCESSES_TO_CLEAR = 20;
+
+  /** Bound of the exponent, so that the shift cannot overflow. */
+  private static final int MAX_BACKOFF_EXPONENT = 16;
+
+  private final BalanceSettings settings;
+  private NodeRecord node;
+  private int inFlight;
+  private boolean sampled;
+  private double latencyNanos;
+  private long sampledAtNanos;
+  private ReportedLoad report;
+  private int inFlightAtReport;
+  private long reportedAtNanos;
+  private int failuresInRow;
+  private int successesInRow;
+  private int ejections;
+  private boolean ejected;
+  private long ejectedUntilNanos;
+  private boolean restored;
+  private long restoredAtNanos;
+
+  InstanceState(BalanceSettings settings, NodeRecord node) {
+    this.settings = settings;
+    this.node = node;
+  }
+
+  NodeRecord node() {
+    return node;
+  }
+
+  /** Takes a newer record of the same node. */
+  void update(NodeRecord newer) {
+    node = newer;
+  }
+
+  boolean isEjected() {
+    return ejected;
+  }
+
+  /** Whether the next request to the instance decides if it returns. */
+  boolean awaitsProbe(long nowNanos) {
+    return ejected && nowNanos - ejectedUntilNanos >= 0;
+  }
+
+  /** Whether the instance may be chosen; an ejected one admits a single probe at a time. */
+  boolean isAvailable(boolean retriable, long nowNanos) {
+    if (!ejected) {
+      return true;
+    }
+    long delay = retriable ? 0 : settings.riskyProbeDelay().toNanos();
+    return inFlight == 0 && nowNanos - ejectedUntilNanos >= delay;
+  }
+
+  /** Share of its full load that the instance should get at present, more than 0 to 1. */
+  double share(long nowNanos) {
+    long began = node.upstream().map(UpstreamAnnouncement::startedAtNanos).orElse(nowNanos);
+    if (restored && restoredAtNanos - began > 0) {
+      began = restoredAtNanos;
+    }
+    double progress = (double) (nowNanos - began) / settings.slowStart().toNanos();
+    return Math.max(settings.slowStartShare(), Math.min(1.0, progress));
+  }
+
+  /** Occupied share of the limit, from own requests and the report as far as it is fresh. */
+  double occupancy(long nowNanos) {
+    return expectedRequests(nowNanos) / limit(nowNanos);
+  }
+
+  /** Expected time of one more request; lower is better. */
+  double score(double meanNanos, long nowNanos) {
+    double pending = (expectedRequests(nowNanos) + 1) / limit(nowNanos);
+    return latency(meanNanos, nowNanos) * pending * (1 + failuresInRow);
+  }
+
+  /** Average latency; without recent samples it returns to the mean of the service. */
+  double latency(double meanNanos, long nowNanos) {
+    if (!sampled) {
+      return meanNanos;
+    }
+    double age = nowNanos - sampledAtNanos;
+    double weight = Math.exp(-age / settings.latencyMemory().toNanos());
+    return meanNanos + (latencyNanos - meanNanos) * weight;
+  }
+
+  private double expectedRequests(long nowNanos) {
+    double weight = reportWeight(nowNanos);
+    return weight == 0
+        ? inFlight
+        : inFlight + weight * Math.max(0, report.occupied() - inFlightAtReport);
+  }
+
+  private double limit(long nowNanos) {
+    double slots = node.upstream().map(UpstreamAnnouncement::slots).orElse(1);
+    double weight = reportWeight(nowNanos);
+    if (weight > 0 && report.limit() > 0) {
+      slots += weight * (report.limit() - slots);
+    }
+    return Math.max(1, slots);
+  }
+
+  private double reportWeight(long nowNanos) {
+    if (report == null) {
+      return 0;
+    }
+    double age = nowNanos - reportedAtNanos;
+    return Math.max(0, 1 - age / settings.reportLifetime().toNanos());
+  }
+
+  void sent() {
+    inFlight++;
+  }
+
+  void done() {
+    inFlight--;
+  }
+
+  void reported(ReportedLoad load, long nowNanos) {
+    report = load;
+    inFlightAtReport = inFlight;
+    reportedAtNanos = nowNanos;
+  }
+
+  void answered(long latency, boolean probe, long nowNanos) {
+    sample(latency, nowNanos);
+    failuresInRow = 0;
+    if (ejected && probe) {
+      ejected = false;
+      restored = true;
+      restoredAtNanos = nowNanos;
+    }
+    successesInRow++;
+    if (successesInRow >= SUCCESSES_TO_CLEAR) {
+      ejections = 0;
+    }
+  }
+
+  private void sample(long latency, long nowNanos) {
+    double age = Math.max(0, nowNanos - sampledAtNanos);
+    double weight = sampled ? Math.exp(-age / settings.latencyWindow().toNanos()) : 0;
+    latencyNanos = latencyNanos * weight + latency * (1 - weight);
+    sampled = true;
+    sampledAtNanos = nowNanos;
+  }
+
+  /** Records a refusal; without a report of its own the instance counts as full for a while. */
+  void refused(long nowNanos) {
+    if (reportWeight(nowNanos) < 1) {
+      int slots = node.upstream().map(UpstreamAnnouncement::slots).orElse(1);
+      reported(new ReportedLoad(inFlight + slots, slots), nowNanos);
+    }
+  }
+
+  /** Records a failure and ejects the instance when that is due and allowed. */
+  void failed(boolean probe, boolean mayEject, long nowNanos) {
+    failuresInRow++;
+    successesInRow = 0;
+    boolean probeFailed = ejected && probe;
+    boolean due = !ejected && failuresInRow >= settings.consecutiveFailures() && mayEject;
+    if (probeFailed || due) {
+      eject(nowNanos);
+    }
+  }
+
+  private void eject(long nowNanos) {
+    int exponent = Math.min(ejections, MAX_BACKOFF_EXPONENT);
+    long length = settings.firstEjection().toNanos() << exponent;
+    ejected = true;
+    ejections++;
+    ejectedUntilNanos = nowNanos + Math.min(length, settings.longestEjection().toNanos());
+  }
+}
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/request/balance/Selection.java
@@ -0,0 +1,42 @@
+package io.foxtaildoor.request.balance;
+
+import io.foxtaildoor.process.membership.NodeRecord;
+
+/** One chosen instance; must be ended once with {@link UpstreamSelector#finish}. */
+public final class Selection {
+  private final ServiceBalance owner;
+  private final InstanceState instance;
+  private final boolean probe;
+  private boolean finished;
+
+  Selection(ServiceBalance owner, InstanceState instance, boolean probe) {
+    this.owner = owner;
+    this.instance = instance;
+    this.probe = probe;
+  }
+
+  /** The node to send to. */
+  public NodeRecord node() {
+    return instance.node();
+  }
+
+  /** Whether this request decides if an ejected instance returns. */
+  public boolean isProbe() {
+    return probe;
+  }
+
+  ServiceBalance owner() {
+    return owner;
+  }
+
+  InstanceState instance() {
+    return instance;
+  }
+
+  /** Returns true on the first call only. */
+  boolean markFinished() {
+    boolean first = !finished;
+    finished = true;
+    return first;
+  }
+}
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/request/balance/ServiceBalance.java
@@ -0,0 +1,252 @@
+package io.foxtaildoor.request.balance;
+
+import io.foxtaildoor.common.DataCentreId;
+import io.foxtaildoor.common.NodeId;
+import io.foxtaildoor.common.RegionId;
+import io.foxtaildoor.process.membership.NodeRecord;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+
+/** The instances of one service as this node sees them; every method holds the lock. */
+final class ServiceBalance {
+  /** Own data centre, own region, other regions. */
+  private static final int TIERS = 3;
+
+  /** A farther instance must be expected to be this much faster than a nearer one. */
+  private static final double[] TIER_PENALTY = {1.0, 1.25, 2.0};
+
+  /** A nearer instance this many times slower than the mean is compared with farther ones. */
+  private static final double SLOW_FACTOR = 2.0;
+
+  /** Random draws before a tier is scanned for an eligible instance. */
+  private static final int DRAWS = 6;
+
+  /** Weight of one sample in the mean of the service. */
+  private static final double MEAN_WEIGHT = 1.0 / 64;
+
+  /** Latency assumed before the first sample; only the ratio between instances matters. */
+  private static final double INITIAL_MEAN_NANOS = 1_000_000;
+
+  private final BalanceSettings settings;
+  private final RegionId region;
+  private final DataCentreId dataCentre;
+  private List<NodeRecord> lastCandidates = List.of();
+  private Map<NodeId, InstanceState> instances = Map.of();
+  private List<List<InstanceState>> tiers = emptyTiers();
+  private double meanNanos = INITIAL_MEAN_NANOS;
+  private boolean sampled;
+
+  ServiceBalance(BalanceSettings settings, RegionId region, DataCentreId dataCentre) {
+    this.settings = settings;
+    this.region = region;
+    this.dataCentre = dataCentre;
+  }
+
+  synchronized Optional<Selection> choose(
+      List<NodeRecord> candidates,
+      Set<NodeId> tried,
+      boolean retriable,
+      long nowNanos,
+      RandomGenerator random) {
+    synchronize(candidates);
+    InstanceState best = bestOfTiers(tried, retriable, nowNanos, random);
+    if (best == null) {
+      best = drawAny(tried, random);
+    }
+    return Optional.ofNullable(best).map(instance -> select(instance, nowNanos));
+  }
+
+  synchronized Optional<Selection> select(
+      List<NodeRecord> candidates, NodeId target, long nowNanos) {
+    synchronize(candidates);
+    return Optional.ofNullable(instances.get(target)).map(instance -> select(instance, nowNanos));
+  }
+
+  private Selection select(InstanceState instance, long nowNanos) {
+    boolean probe = instance.awaitsProbe(nowNanos);
+    instance.sent();
+    return new Selection(this, instance, probe);
+  }
+
+  synchronized void report(Selection selection, ReportedLoad load, long nowNanos) {
+    selection.instance().reported(load, nowNanos);
+  }
+
+  synchronized void finish(
+      Selection selection, AttemptResult result, long latencyNanos, long nowNanos) {
+    if (!selection.markFinished()) {
+      return;
+    }
+    InstanceState instance = selection.instance();
+    instance.done();
+    switch (result) {
+      case ANSWERED -> {
+        addToMean(latencyNanos);
+        instance.answered(latencyNanos, selection.isProbe(), nowNanos);
+      }
+      case REFUSED -> instance.refused(nowNanos);
+      case FAILED -> instance.failed(selection.isProbe(), mayEject(), nowNanos);
+      case ABANDONED -> {}
+    }
+  }
+
+  synchronized int ejected() {
+    return (int) instances.values().stream().filter(InstanceState::isEjected).count();
+  }
+
+  synchronized int size() {
+    return instances.size();
+  }
+
+  private boolean mayEject() {
+    return 2 * (ejected() + 1) <= instances.size();
+  }
+
+  private void addToMean(long latencyNanos) {
+    double weight = sampled ? MEAN_WEIGHT : 1;
+    meanNanos += (latencyNanos - meanNanos) * weight;
+    sampled = true;
+  }
+
+  /** Adopts a new list of nodes; state of nodes that are not in it is dropped. */
+  private void synchronize(List<NodeRecord> candidates) {
+    if (candidates == lastCandidates || candidates.equals(lastCandidates)) {
+      return;
+    }
+    Map<NodeId, InstanceState> next = new HashMap<>();
+    List<List<InstanceState>> nextTiers = emptyTiers();
+    for (NodeRecord node : candidates) {
+      InstanceState instance = instances.get(node.id());
+      if (instance == null) {
+        instance = new InstanceState(settings, node);
+      } else {
+        instance.update(node);
+      }
+      next.put(node.id(), instance);
+      nextTiers.get(tier(node)).add(instance);
+    }
+    instances = next;
+    tiers = nextTiers;
+    lastCandidates = candidates;
+  }
+
+  private static List<List<InstanceState>> emptyTiers() {
+    List<List<InstanceState>> tiers = new ArrayList<>(TIERS);
+    for (int i = 0; i < TIERS; i++) {
+      tiers.add(new ArrayList<>());
+    }
+    return tiers;
+  }
+
+  private int tier(NodeRecord node) {
+    if (node.dataCentre().equals(dataCentre)) {
+      return 0;
+    }
+    return node.region().equals(region) ? 1 : 2;
+  }
+
+  private InstanceState bestOfTiers(
+      Set<NodeId> tried, boolean retriable, long nowNanos, RandomGenerator random) {
+    InstanceState best = null;
+    double bestScore = Double.POSITIVE_INFINITY;
+    for (int tier = 0; tier < TIERS; tier++) {
+      InstanceState candidate = bestOfTwo(tiers.get(tier), tried, retriable, nowNanos, random);
+      if (candidate == null) {
+        continue;
+      }
+      double score = candidate.score(meanNanos, nowNanos) * TIER_PENALTY[tier];
+      if (score < bestScore) {
+        best = candidate;
+        bestScore = score;
+      }
+      if (!isLoaded(best, nowNanos)) {
+        break;
+      }
+    }
+    return best;
+  }
+
+  private boolean isLoaded(InstanceState instance, long nowNanos) {
+    return instance.occupancy(nowNanos) >= settings.spillOccupancy()
+        || instance.latency(meanNanos, nowNanos) > SLOW_FACTOR * meanNanos;
+  }
+
+  private InstanceState bestOfTwo(
+      List<InstanceState> tier,
+      Set<NodeId> tried,
+      boolean retriable,
+      long nowNanos,
+      RandomGenerator random) {
+    InstanceState first = draw(tier, null, tried, retriable, nowNanos, random);
+    InstanceState second =
+        first == null ? null : draw(tier, first, tried, retriable, nowNanos, random);
+    if (second == null || first.awaitsProbe(nowNanos)) {
+      return first;
+    }
+    if (second.awaitsProbe(nowNanos)) {
+      return second;
+    }
+    double difference = second.score(meanNanos, nowNanos) - first.score(meanNanos, nowNanos);
+    return difference < 0 ? second : first;
+  }
+
+  /** Draws an eligible instance; one in slow start is passed over as its share requires. */
+  private static InstanceState draw(
+      List<InstanceState> tier,
+      InstanceState other,
+      Set<NodeId> tried,
+      boolean retriable,
+      long nowNanos,
+      RandomGenerator random) {
+    if (tier.isEmpty()) {
+      return null;
+    }
+    for (int i = 0; i < DRAWS; i++) {
+      InstanceState drawn = tier.get(random.nextInt(tier.size()));
+      if (isEligible(drawn, other, tried, retriable, nowNanos)
+          && (drawn.share(nowNanos) >= 1 || random.nextDouble() < drawn.share(nowNanos))) {
+        return drawn;
+      }
+    }
+    int offset = random.nextInt(tier.size());
+    InstanceState starting = null;
+    for (int i = 0; i < tier.size(); i++) {
+      InstanceState instance = tier.get((offset + i) % tier.size());
+      if (isEligible(instance, other, tried, retriable, nowNanos)) {
+        if (instance.share(nowNanos) >= 1) {
+          return instance;
+        }
+        starting = starting == null ? instance : starting;
+      }
+    }
+    // As the second choice, an instance in slow start is only taken by chance.
+    return other == null ? starting : null;
+  }
+
+  private static boolean isEligible(
+      InstanceState instance,
+      InstanceState other,
+      Set<NodeId> tried,
+      boolean retriable,
+      long nowNanos) {
+    return instance != other
+        && !tried.contains(instance.node().id())
+        && instance.isAvailable(retriable, nowNanos);
+  }
+
+  /** Draws from all instances not tried yet, ejected ones included. */
+  private InstanceState drawAny(Set<NodeId> tried, RandomGenerator random) {
+    List<InstanceState> left = new ArrayList<>();
+    for (InstanceState instance : instances.values()) {
+      if (!tried.contains(instance.node().id())) {
+        left.add(instance);
+      }
+    }
+    return left.isEmpty() ? null : left.get(random.nextInt(left.size()));
+  }
+}
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/request/idempotency/KeyedRequests.java
@@ -0,0 +1,162 @@
+package io.foxtaildoor.request.idempotency;
+
+import io.foxtaildoor.common.NodeId;
+import io.foxtaildoor.common.ServiceId;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * Remembers on the caller's side where keyed requests were sent while they are in flight and while
+ * their outcome is unknown; safe for use by several threads.
+ *
+ * <p>An entry is never dropped before its time to make room: a full table refuses new keys, because
+ * a forgotten destination could let a repeat run a second time elsewhere.
+ */
+public final class KeyedRequests {
+  /** Time for which the owner of a key remembers it, see the design page. */
+  public static final Duration MEMORY = Duration.ofMinutes(10);
+
+  private static final int SHARDS = 16;
+
+  private final Shard[] shards = new Shard[SHARDS];
+
+  /** How a keyed request ended. */
+  public enum Ending {
+    /** The caller got a whole answer. */
+    ANSWERED,
+    /** The request definitely did not run. */
+    NOT_RUN,
+    /** The upstream may have run the request. */
+    UNKNOWN
+  }
+
+  /** Creates a table for at most a number of keys, spread over shards. */
+  public KeyedRequests(int capacity) {
+    int perShard = Math.max(1, capacity / SHARDS);
+    for (int i = 0; i < SHARDS; i++) {
+      shards[i] = new Shard(perShard);
+    }
+  }
+
+  /**
+   * Registers a keyed request before it is sent; each success must be followed by one {@link #end}.
+   *
+   * @param preferred destination of a key that is not remembered
+   * @return the node to send to, which differs from the preferred one when an earlier request with
+   *     the key went there; empty when the table is full and the request must be refused
+   */
+  public Optional<NodeId> begin(ServiceId service, String key, NodeId preferred, long nowNanos) {
+    EntryKey entryKey = new EntryKey(service, key);
+    return shard(entryKey).begin(entryKey, preferred, nowNanos);
+  }
+
+  /** Ends a request that {@link #begin} registered. */
+  public void end(ServiceId service, String key, Ending ending, long nowNanos) {
+    EntryKey entryKey = new EntryKey(service, key);
+    shard(entryKey).end(entryKey, ending, nowNanos);
+  }
+
+  /** Where a key that is in flight or has an unknown outcome was sent. */
+  public Optional<NodeId> destination(ServiceId service, String key, long nowNanos) {
+    EntryKey entryKey = new EntryKey(service, key);
+    return shard(entryKey).destination(entryKey, nowNanos);
+  }
+
+  /** Number of remembered keys, those not purged yet included. */
+  public int size() {
+    int size = 0;
+    for (Shard shard : shards) {
+      size += shard.size();
+    }
+    return size;
+  }
+
+  private Shard shard(EntryKey key) {
+    int hash = key.hashCode();
+    return shards[(hash ^ (hash >>> 16)) & (SHARDS - 1)];
+  }
+
+  private record EntryKey(ServiceId service, String key) {}
+
+  private static final class Entry {
+    final EntryKey key;
+    final NodeId node;
+    int inFlight;
+    long unknownUntilNanos;
+
+    Entry(EntryKey key, NodeId node) {
+      this.key = key;
+      this.node = node;
+    }
+  }
+
+  private static final class Shard {
+    private final int capacity;
+    private final Map<EntryKey, Entry> entries = new HashMap<>();
+
+    /** Entries with an unknown outcome in the order in which they expire. */
+    private final Set<Entry> unknown = new LinkedHashSet<>();
+
+    Shard(int capacity) {
+      this.capacity = capacity;
+    }
+
+    synchronized Optional<NodeId> begin(EntryKey key, NodeId preferred, long nowNanos) {
+      purge(nowNanos);
+      Entry entry = entries.get(key);
+      if (entry == null) {
+        if (entries.size() >= capacity) {
+          return Optional.empty();
+        }
+        entry = new Entry(key, preferred);
+        entries.put(key, entry);
+      }
+      entry.inFlight++;
+      return Optional.of(entry.node);
+    }
+
+    synchronized void end(EntryKey key, Ending ending, long nowNanos) {
+      Entry entry = entries.get(key);
+      entry.inFlight--;
+      if (ending == Ending.UNKNOWN) {
+        entry.unknownUntilNanos = nowNanos + MEMORY.toNanos();
+        unknown.remove(entry);
+        unknown.add(entry);
+      }
+      purge(nowNanos);
+      removeIfDone(entry);
+    }
+
+    synchronized Optional<NodeId> destination(EntryKey key, long nowNanos) {
+      purge(nowNanos);
+      return Optional.ofNullable(entries.get(key)).map(entry -> entry.node);
+    }
+
+    synchronized int size() {
+      return entries.size();
+    }
+
+    private void purge(long nowNanos) {
+      Iterator<Entry> oldest = unknown.iterator();
+      while (oldest.hasNext()) {
+        Entry entry = oldest.next();
+        if (nowNanos - entry.unknownUntilNanos < 0) {
+          return;
+        }
+        oldest.remove();
+        removeIfDone(entry);
+      }
+    }
+
+    private void removeIfDone(Entry entry) {
+      if (entry.inFlight == 0 && !unknown.contains(entry)) {
+        entries.remove(entry.key, entry);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/request/retry/RetryBudget.java
@@ -0,0 +1,44 @@
+package io.foxtaildoor.request.retry;
+
+/** Retry budget of one service over a decaying window; safe for use by several threads. */
+public final class RetryBudget {
+  private final RetrySettings settings;
+  private final double windowNanos;
+  private double requests;
+  private double retries;
+  private long decayedAtNanos;
+
+  /** Creates a budget with an empty window. */
+  public RetryBudget(RetrySettings settings, long nowNanos) {
+    this.settings = settings;
+    this.windowNanos = settings.budgetWindow().toNanos();
+    this.decayedAtNanos = nowNanos;
+  }
+
+  /** Counts a request of a caller; its retries are not counted here. */
+  public synchronized void requested(long nowNanos) {
+    decay(nowNanos);
+    requests++;
+  }
+
+  /** Takes one retry from the budget when it is not used up. */
+  public synchronized boolean tryRetry(long nowNanos) {
+    decay(nowNanos);
+    if (retries + 1 > settings.budgetFloor() + settings.budgetShare() * requests) {
+      return false;
+    }
+    retries++;
+    return true;
+  }
+
+  private void decay(long nowNanos) {
+    long age = nowNanos - decayedAtNanos;
+    if (age <= 0) {
+      return;
+    }
+    double weight = Math.exp(-age / windowNanos);
+    requests *= weight;
+    retries *= weight;
+    decayedAtNanos = nowNanos;
+  }
+}
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/request/retry/RetrySettings.java
@@ -0,0 +1,24 @@
+package io.foxtaildoor.request.retry;
+
+import java.time.Duration;
+
+/**
+ * Parameters of retries.
+ *
+ * @param maxAttempts attempts of one request, the first included
+ * @param minRemaining time that must be left for another attempt
+ * @param budgetShare retries as a share of recent requests
+ * @param budgetFloor retries admitted in the window whatever the number of requests
+ * @param budgetWindow time constant after which requests and retries have decayed
+ */
+public record RetrySettings(
+    int maxAttempts,
+    Duration minRemaining,
+    double budgetShare,
+    double budgetFloor,
+    Duration budgetWindow) {
+  /** The values of the design page. */
+  public static RetrySettings defaults() {
+    return new RetrySettings(3, Duration.ofMillis(2), 0.1, 3, Duration.ofSeconds(10));
+  }
+}
--- /dev/null
+++ b/product/src/test/java/io/foxtaildoor/request/balance/UpstreamSelectorTest.java
@@ -0,0 +1,197 @@
+package io.foxtaildoor.request.balance;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNotEquals;
+import static org.testng.Assert.assertTrue;
+
+import io.foxtaildoor.common.NodeId;
+import io.foxtaildoor.process.membership.NodeRecord;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests of {@link UpstreamSelector}. */
+public class UpstreamSelectorTest {
+  private static final long MILLI = Duration.ofMillis(1).toNanos();
+  private static final long SECOND = Duration.ofSeconds(1).toNanos();
+  private static final int DRAWS = 2_000;
+
+  private SplittableRandom random;
+  private UpstreamSelector selector;
+
+  @BeforeMethod
+  public void createSelector() {
+    random = new SplittableRandom(7);
+    selector = new UpstreamSelector(BalanceSettings.defaults(), Fleet.REGION, Fleet.HOME);
+  }
+
+  private Selection choose(List<NodeRecord> nodes, long now) {
+    return selector.choose(Fleet.SERVICE, nodes, Set.of(), true, now, random).orElseThrow();
+  }
+
+  private Map<NodeId, Integer> counts(List<NodeRecord> nodes, long now) {
+    Map<NodeId, Integer> counts = new HashMap<>();
+    for (int i = 0; i < DRAWS; i++) {
+      Selection selection = choose(nodes, now);
+      counts.merge(selection.node().id(), 1, Integer::sum);
+      selector.finish(selection, AttemptResult.ABANDONED, 0, now);
+    }
+    return counts;
+  }
+
+  private void fail(List<NodeRecord> nodes, NodeRecord node, int times, long now) {
+    for (int i = 0; i < times; i++) {
+      Selection selection = selector.select(Fleet.SERVICE, nodes, node.id(), now).orElseThrow();
+      selector.finish(selection, AttemptResult.FAILED, 0, now);
+    }
+  }
+
+  /** Guards against all nodes sending to one instance that looked idle. */
+  @Test
+  public void ownRequestsInFlightSpread() {
+    List<NodeRecord> nodes = Fleet.warm(5, Fleet.HOME);
+    Map<NodeId, Integer> inFlight = new HashMap<>();
+    for (int i = 0; i < 30; i++) {
+      inFlight.merge(choose(nodes, 0).node().id(), 1, Integer::sum);
+    }
+    assertEquals(inFlight.size(), 5);
+    inFlight.values().forEach(count -> assertTrue(count <= 9, "requests on one: " + count));
+  }
+
+  /** Guards against following a load report after it is out of date. */
+  @Test
+  public void staleReportsLoseTheirWeight() {
+    List<NodeRecord> nodes = Fleet.warm(2, Fleet.HOME);
+    Selection selection = selector.select(Fleet.SERVICE, nodes, nodes.get(0).id(), 0).orElseThrow();
+    selector.report(selection, new ReportedLoad(40, 9), 0);
+    selector.finish(selection, AttemptResult.ABANDONED, 0, 0);
+    assertFalse(counts(nodes, 1).containsKey(nodes.get(0).id()), "a full instance got work");
+    int later = counts(nodes, SECOND).getOrDefault(nodes.get(0).id(), 0);
+    assertTrue(later > DRAWS / 3, "after a second it got " + later);
+  }
+
+  /** Guards against traffic across data centres without need, and against none when needed. */
+  @Test
+  public void spillsOverOnlyWhenTheOwnDataCentreIsLoaded() {
+    List<NodeRecord> nodes = new ArrayList<>(Fleet.warm(2, Fleet.HOME));
+    nodes.add(Fleet.node(7, Fleet.AWAY, -3600 * SECOND));
+    assertFalse(counts(nodes, 0).containsKey(new NodeId("node-7")), "left without need");
+    Set<NodeId> used = new HashSet<>();
+    for (int i = 0; i < 2 * Fleet.SLOTS; i++) {
+      used.add(choose(nodes, 0).node().id());
+    }
+    assertTrue(used.contains(new NodeId("node-7")), "stayed on loaded instances");
+  }
+
+  /** Guards against a full share of the load on an instance that has just started. */
+  @Test
+  public void newInstancesStartSlowly() {
+    List<NodeRecord> nodes = new ArrayList<>(Fleet.warm(4, Fleet.HOME));
+    nodes.add(Fleet.node(9, Fleet.HOME, 0));
+    NodeId fresh = new NodeId("node-9");
+    int atStart = counts(nodes, 0).getOrDefault(fresh, 0);
+    int warm = counts(nodes, 10 * SECOND).getOrDefault(fresh, 0);
+    assertTrue(atStart > 0 && atStart < DRAWS / 20, "at its start it got " + atStart);
+    assertTrue(warm > DRAWS / 8, "after slow start it got " + warm);
+  }
+
+  /** Tests of the ejection of failing instances. */
+  public static final class Ejection {
+    private final UpstreamSelectorTest base = new UpstreamSelectorTest();
+
+    @BeforeMethod
+    public void createSelector() {
+      base.createSelector();
+    }
+
+    /** Guards against an ejected instance that returns at once, never, or with many requests. */
+    @Test
+    public void returnsThroughOneProbeWithBackOff() {
+      List<NodeRecord> nodes = Fleet.warm(4, Fleet.HOME);
+      NodeRecord failing = nodes.get(1);
+      base.fail(nodes, failing, 5, 0);
+      assertEquals(base.selector.ejected(Fleet.SERVICE), 1);
+      assertFalse(base.counts(nodes, SECOND - 1).containsKey(failing.id()));
+      Selection probe = firstSelectionOf(failing, nodes, SECOND);
+      assertTrue(probe.isProbe());
+      assertFalse(base.counts(nodes, SECOND).containsKey(failing.id()), "two probes at once");
+      base.selector.finish(probe, AttemptResult.FAILED, 0, SECOND);
+      assertFalse(base.counts(nodes, 3 * SECOND - 1).containsKey(failing.id()), "no back-off");
+      Selection second = firstSelectionOf(failing, nodes, 3 * SECOND);
+      base.selector.finish(second, AttemptResult.ANSWERED, MILLI, 3 * SECOND);
+      assertEquals(base.selector.ejected(Fleet.SERVICE), 0);
+    }
+
+    private Selection firstSelectionOf(NodeRecord node, List<NodeRecord> nodes, long now) {
+      for (int i = 0; i < 100; i++) {
+        Selection selection = base.choose(nodes, now);
+        if (selection.node().equals(node)) {
+          return selection;
+        }
+        base.selector.finish(selection, AttemptResult.ABANDONED, 0, now);
+      }
+      throw new AssertionError("never probed");
+    }
+
+    /** Guards against a service without instances when all of them fail, for 1 to 12 instances. */
+    @Test
+    public void ejectsAtMostHalfAndNeverEmptiesAService() {
+      for (int count = 1; count <= 12; count++) {
+        UpstreamSelectorTest test = new UpstreamSelectorTest();
+        test.createSelector();
+        List<NodeRecord> nodes = Fleet.warm(count, Fleet.HOME);
+        nodes.forEach(node -> test.fail(nodes, node, 50, 0));
+        assertEquals(test.selector.ejected(Fleet.SERVICE), count / 2);
+        Set<NodeId> tried = new HashSet<>();
+        for (int i = 0; i < count; i++) {
+          Selection selection =
+              test.selector.choose(Fleet.SERVICE, nodes, tried, true, 1, test.random).orElseThrow();
+          assertTrue(tried.add(selection.node().id()), "tried twice");
+        }
+        assertTrue(
+            test.selector.choose(Fleet.SERVICE, nodes, tried, true, 1, test.random).isEmpty());
+      }
+    }
+
+    /** Guards against state of vanished nodes that is kept, or that takes late results. */
+    @Test
+    public void vanishedNodesAreForgotten() {
+      List<NodeRecord> nodes = Fleet.warm(6, Fleet.HOME);
+      Selection late = base.choose(nodes, 0);
+      base.fail(nodes, nodes.get(5), 5, 0);
+      List<NodeRecord> left = nodes.subList(0, 2);
+      base.choose(left, 0);
+      base.selector.finish(late, AttemptResult.FAILED, 0, 0);
+      assertEquals(base.selector.instances(Fleet.SERVICE), 2);
+      assertEquals(base.selector.ejected(Fleet.SERVICE), 0);
+    }
+  }
+
+  /** Guards against keys that move although their instance stays. */
+  @Test
+  public void rendezvousMovesOnlyTheKeysOfALostInstance() {
+    List<NodeRecord> nodes = Fleet.warm(12, Fleet.HOME);
+    List<NodeRecord> fewer = nodes.subList(1, 12);
+    Map<NodeId, Integer> share = new HashMap<>();
+    for (int i = 0; i < 6_000; i++) {
+      String key = "key-" + i;
+      NodeRecord first = Rendezvous.first(Fleet.SERVICE, key, nodes).orElseThrow();
+      NodeRecord after = Rendezvous.first(Fleet.SERVICE, key, fewer).orElseThrow();
+      share.merge(first.id(), 1, Integer::sum);
+      if (first.equals(nodes.get(0))) {
+        assertNotEquals(after, first);
+      } else {
+        assertEquals(after, first);
+      }
+    }
+    share.values().forEach(n -> assertTrue(n > 350 && n < 650, "uneven share " + n));
+  }
+}
--- /dev/null
+++ b/product/src/test/java/io/foxtaildoor/request/idempotency/KeyedRequestsTest.java
@@ -0,0 +1,81 @@
+package io.foxtaildoor.request.idempotency;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import io.foxtaildoor.common.NodeId;
+import io.foxtaildoor.common.ServiceId;
+import io.foxtaildoor.request.idempotency.KeyedRequests.Ending;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests of {@link KeyedRequests}. */
+public class KeyedRequestsTest {
+  private static final ServiceId SERVICE = new ServiceId("bookings");
+  private static final NodeId FIRST = new NodeId("first");
+  private static final NodeId SECOND = new NodeId("second");
+  private static final List<Ending> ENDINGS = List.of(Ending.values());
+  private static final long MEMORY = KeyedRequests.MEMORY.toNanos();
+
+  private KeyedRequests requests;
+
+  @BeforeMethod
+  public void createTable() {
+    requests = new KeyedRequests(160);
+  }
+
+  /** Guards against a repeat that reaches another node while the first may have run the work. */
+  @Test
+  public void unknownOutcomeBindsTheKeyForTenMinutes() {
+    requests.begin(SERVICE, "k", FIRST, 0);
+    requests.end(SERVICE, "k", Ending.UNKNOWN, 0);
+    assertEquals(requests.begin(SERVICE, "k", SECOND, MEMORY - 1), Optional.of(FIRST));
+    requests.end(SERVICE, "k", Ending.NOT_RUN, MEMORY - 1);
+    assertEquals(requests.destination(SERVICE, "k", MEMORY - 1), Optional.of(FIRST));
+    assertEquals(requests.begin(SERVICE, "k", SECOND, MEMORY), Optional.of(SECOND));
+  }
+
+  /** Guards against concurrent repeats on two nodes, and against entries that outlive their use. */
+  @Test
+  public void inFlightBindsTheKeyUntilTheAnswer() {
+    requests.begin(SERVICE, "k", FIRST, 0);
+    assertEquals(requests.begin(SERVICE, "k", SECOND, 2 * MEMORY), Optional.of(FIRST));
+    requests.end(SERVICE, "k", Ending.NOT_RUN, 2 * MEMORY);
+    requests.end(SERVICE, "k", Ending.ANSWERED, 2 * MEMORY);
+    assertEquals(requests.size(), 0);
+  }
+
+  /** Guards against forgetting an unknown outcome under pressure, over seeded operations. */
+  @Test
+  public void aFullTableRefusesInsteadOfForgetting() {
+    Random random = new Random(5);
+    Map<String, Long> unknownUntil = new HashMap<>();
+    int refused = 0;
+    long now = 0;
+    for (int i = 0; i < 20_000; i++) {
+      now += random.nextInt(10) * MEMORY / 2_000;
+      String key = "k" + random.nextInt(2_000);
+      NodeId preferred = new NodeId("n" + random.nextInt(1_000));
+      Optional<NodeId> known = requests.destination(SERVICE, key, now);
+      assertEquals(known.isPresent(), unknownUntil.getOrDefault(key, Long.MIN_VALUE) > now);
+      Optional<NodeId> sentTo = requests.begin(SERVICE, key, preferred, now);
+      if (sentTo.isEmpty()) {
+        refused++;
+        continue;
+      }
+      assertEquals(sentTo.get(), known.orElse(preferred));
+      Ending ending = ENDINGS.get(random.nextInt(ENDINGS.size()));
+      requests.end(SERVICE, key, ending, now);
+      if (ending == Ending.UNKNOWN) {
+        unknownUntil.put(key, now + MEMORY);
+      }
+      assertTrue(requests.size() <= 160);
+    }
+    assertTrue(refused > 0, "the table was never full");
+  }
+}
--- /dev/null
+++ b/product/src/test/java/io/foxtaildoor/request/idempotency/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the memory of keyed requests. */
+package io.foxtaildoor.request.idempotency;
