Add the admission to an upstream

Without admission by rank a flood of the least urgent work takes the slots from all other work.

AdmissionQueue keeps one queue by deadline for each rank, hands slots to ranks below their reserved share first and else to the highest, refuses early by the estimated wait and never starts an expired request. The limit is lowered by shed load and latency growth and ramps up over the cold start.

--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/request/admission/AdmissionQueue.java
@@ -0,0 +1,228 @@
+package io.foxtaildoor.request.admission;
+
+import io.foxtaildoor.common.ErrorKind;
+import io.foxtaildoor.common.Rank;
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeSet;
+import java.util.function.Consumer;
+
+/**
+ * Decides which request gets a free slot of one upstream; safe for use by several threads.
+ *
+ * <p>A free slot goes to a rank that received less than its reserved share of the recent slot time
+ * and has work waiting, else to the highest waiting rank; within a rank to the earliest deadline.
+ */
+public final class AdmissionQueue<T> {
+  private final AdmissionSettings settings;
+  private final LimitController controller;
+  private final ServiceTimes times = new ServiceTimes();
+  private final SlotShares shares;
+  private final Map<Rank, TreeSet<Ticket<T>>> queues = new EnumMap<>(Rank.class);
+  private UpstreamLimits limits;
+  private long sequence;
+  private int inFlight;
+  private int queued;
+  private boolean draining;
+
+  /** Creates an empty queue. */
+  public AdmissionQueue(AdmissionSettings settings, UpstreamLimits limits, long nowNanos) {
+    this.settings = settings;
+    this.limits = limits;
+    this.controller = new LimitController(settings, limits);
+    this.shares = new SlotShares(settings.shareWindow().toNanos(), nowNanos);
+    for (Rank rank : Rank.values()) {
+      queues.put(rank, new TreeSet<>(Ticket::compareDeadline));
+    }
+  }
+
+  /** Takes a changed configuration. */
+  public synchronized void configure(UpstreamLimits newLimits, long nowNanos) {
+    shares.advance(nowNanos, controller.current(nowNanos));
+    limits = newLimits;
+    controller.configure(newLimits);
+  }
+
+  /** Queues a request, or refuses it when it cannot finish before its deadline. */
+  public synchronized Admission<T> offer(T request, Rank rank, long deadlineNanos, long nowNanos) {
+    shares.advance(nowNanos, controller.current(nowNanos));
+    long remaining = deadlineNanos - nowNanos;
+    if (draining) {
+      return Admission.refused(ErrorKind.LEAVING, "upstream is leaving");
+    }
+    if (remaining <= 0) {
+      return Admission.refused(ErrorKind.EXPIRED, "deadline passed before admission");
+    }
+    Ticket<T> ticket = new Ticket<>(request, rank, deadlineNanos, nowNanos, sequence++);
+    TreeSet<Ticket<T>> queue = queues.get(rank);
+    if (queue.size() >= settings.maxQueuedPerRank()) {
+      return Admission.refused(ErrorKind.OVERLOADED, "queue of rank " + rank + " is full");
+    }
+    // While nothing runs a request is taken whatever the estimate says: it may be out of date, and
+    // only a request that runs corrects it.
+    boolean idle = inFlight == 0 && queued == 0;
+    double needed = estimatedWait(ticket, nowNanos) + times.bound(rank);
+    if (!idle && needed > remaining) {
+      return Admission.refused(ErrorKind.OVERLOADED, "wait would pass the deadline");
+    }
+    queue.add(ticket);
+    queued++;
+    return Admission.queued(ticket);
+  }
+
+  /** Time until a slot is free for a ticket, from the work before it and the rate of its rank. */
+  private double estimatedWait(Ticket<T> ticket, long nowNanos) {
+    int limit = controller.current(nowNanos);
+    Rank rank = ticket.rank();
+    int higherWaiting = 0;
+    double higherShare = 0;
+    for (Map.Entry<Rank, TreeSet<Ticket<T>>> other : queues.entrySet()) {
+      if (other.getKey().compareTo(rank) < 0) {
+        higherWaiting += other.getValue().size();
+        higherShare += shares.recentShare(other.getKey());
+      }
+    }
+    int before = queues.get(rank).headSet(ticket).size();
+    if (inFlight + higherWaiting + before < limit) {
+      return 0;
+    }
+    double share = Math.max(Math.max(limits.share(ticket.rank()), 1 - higherShare), 0.01);
+    double own = (before + 1) * times.overall() / (limit * share);
+    double higher = higherWaiting * times.overall() / limit;
+    // A reserved share holds whatever the higher ranks do, so their queues do not add to its wait.
+    return limits.share(ticket.rank()) >= 1 - higherShare ? own : own + higher;
+  }
+
+  /**
+   * Gives the next request to run, which then holds a slot; empty when none may start.
+   *
+   * @param expired hears of each request that left its queue because it cannot finish in time
+   */
+  public synchronized Optional<Ticket<T>> poll(long nowNanos, Consumer<Ticket<T>> expired) {
+    shares.advance(nowNanos, controller.current(nowNanos));
+    expire(nowNanos, expired);
+    int limit = controller.current(nowNanos);
+    if (inFlight >= limit || queued == 0) {
+      return Optional.empty();
+    }
+    Rank rank = nextRank(limit);
+    Ticket<T> ticket = queues.get(rank).pollFirst();
+    queued--;
+    inFlight++;
+    shares.started(rank);
+    ticket.start(nowNanos);
+    return Optional.of(ticket);
+  }
+
+  private Rank nextRank(int limit) {
+    Rank highest = null;
+    for (Map.Entry<Rank, TreeSet<Ticket<T>>> entry : queues.entrySet()) {
+      if (entry.getValue().isEmpty()) {
+        continue;
+      }
+      Rank rank = entry.getKey();
+      if (belowShare(rank, limit)) {
+        return rank;
+      }
+      if (highest == null) {
+        highest = rank;
+      }
+    }
+    return highest;
+  }
+
+  /**
+   * Whether a rank is owed a slot. The number in flight is bounded as well, so that a rank that was
+   * idle does not take many slots at once to make up for it.
+   */
+  private boolean belowShare(Rank rank, int limit) {
+    double share = limits.share(rank);
+    return shares.recentShare(rank) < share && shares.inFlight(rank) < Math.ceil(share * limit);
+  }
+
+  /** Removes the requests that cannot finish before their deadlines. */
+  private void expire(long nowNanos, Consumer<Ticket<T>> expired) {
+    for (Map.Entry<Rank, TreeSet<Ticket<T>>> entry : queues.entrySet()) {
+      TreeSet<Ticket<T>> queue = entry.getValue();
+      // While nothing runs, only those past their deadlines: the estimate may be out of date.
+      long needed = inFlight == 0 ? 0 : (long) times.bound(entry.getKey());
+      while (!queue.isEmpty() && queue.first().deadlineNanos() - nowNanos <= needed) {
+        Ticket<T> late = queue.pollFirst();
+        queued--;
+        late.end();
+        expired.accept(late);
+      }
+    }
+  }
+
+  /** Takes a waiting request out of its queue; false when it runs or has ended. */
+  public synchronized boolean cancel(Ticket<T> ticket) {
+    if (ticket.state() != Ticket.State.QUEUED) {
+      return false;
+    }
+    queues.get(ticket.rank()).remove(ticket);
+    queued--;
+    ticket.end();
+    return true;
+  }
+
+  /**
+   * Frees the slot of a request; later calls for the same ticket do nothing.
+   *
+   * @param headNanos time from the start to the head of the answer
+   */
+  public synchronized void finish(
+      Ticket<T> ticket, Completion completion, long headNanos, long nowNanos) {
+    if (ticket.state() != Ticket.State.RUNNING) {
+      return;
+    }
+    shares.advance(nowNanos, controller.current(nowNanos));
+    ticket.end();
+    inFlight--;
+    shares.ended(ticket.rank());
+    if (completion == Completion.ANSWERED) {
+      times.add(ticket.rank(), (double) (nowNanos - ticket.startedNanos()));
+      controller.answered(ticket.rank(), headNanos, nowNanos);
+    } else if (completion == Completion.SHED) {
+      controller.shed(headNanos, nowNanos);
+    }
+  }
+
+  /** Refuses everything new as LEAVING; what is queued and in flight goes on. */
+  public synchronized void beginDrain() {
+    draining = true;
+  }
+
+  /** Takes the upstream back into use. */
+  public synchronized void endDrain() {
+    draining = false;
+  }
+
+  /** Whether nothing waits and nothing runs. */
+  public synchronized boolean isEmpty() {
+    return queued == 0 && inFlight == 0;
+  }
+
+  /** The numbers that are reported to callers' nodes. */
+  public synchronized Load load(long nowNanos) {
+    return new Load(inFlight, queued, controller.current(nowNanos));
+  }
+
+  /** Waiting requests of a rank. */
+  public synchronized int queued(Rank rank) {
+    return queues.get(rank).size();
+  }
+
+  /** Running requests of a rank. */
+  public synchronized int inFlight(Rank rank) {
+    return shares.inFlight(rank);
+  }
+
+  /**
+   * Load of an upstream.
+   *
+   * @param limit requests that may be in flight
+   */
+  public record Load(int inFlight, int queued, int limit) {}
+}
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/request/admission/AdmissionSettings.java
@@ -0,0 +1,26 @@
+package io.foxtaildoor.request.admission;
+
+import java.time.Duration;
+
+/**
+ * Settings of the admission to one upstream.
+ *
+ * @param maxQueuedPerRank waiting requests of one rank; each holds at most one window of its body,
+ *     so that 256 of 64 KiB in each of four ranks stay within 64 MiB
+ * @param shareWindow time constant of the decaying window in which slot time is counted
+ * @param shedFactor factor on the limit when the upstream sheds load
+ * @param slowFactor factor on the limit when the latency grows
+ * @param slowRatio latency relative to its long-term mean that counts as growth
+ */
+public record AdmissionSettings(
+    int maxQueuedPerRank,
+    Duration shareWindow,
+    double shedFactor,
+    double slowFactor,
+    double slowRatio) {
+
+  /** Settings for the deployments described in the design page. */
+  public static AdmissionSettings defaults() {
+    return new AdmissionSettings(256, Duration.ofSeconds(1), 0.7, 0.9, 2.0);
+  }
+}
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/request/admission/LimitController.java
@@ -0,0 +1,86 @@
+package io.foxtaildoor.request.admission;
+
+import io.foxtaildoor.common.Rank;
+import java.util.EnumMap;
+import java.util.Map;
+
+/** Concurrency limit of an upstream: additive increase, multiplicative decrease, cold start. */
+final class LimitController {
+  /** Weight of a sample in the short-term ratio of latency to its long-term mean. */
+  private static final double SHORT_WEIGHT = 1.0 / 16;
+
+  /**
+   * Weight of a sample in the long-term mean latency. A lasting change of the work becomes the new
+   * normal after some hundred requests, so it does not hold the limit down for ever.
+   */
+  private static final double LONG_WEIGHT = 1.0 / 256;
+
+  /**
+   * Part of the slots that latency alone never takes away. Latency also grows when something behind
+   * the upstream is slow, where a lower limit gives no relief.
+   */
+  private static final double LATENCY_FLOOR = 0.5;
+
+  private final AdmissionSettings settings;
+  private final Map<Rank, Double> normalNanos = new EnumMap<>(Rank.class);
+  private UpstreamLimits limits;
+  private double limit;
+  private double ratio = 1;
+  private long decreasedAtNanos;
+  private boolean decreased;
+
+  LimitController(AdmissionSettings settings, UpstreamLimits limits) {
+    this.settings = settings;
+    this.limits = limits;
+    this.limit = limits.slots();
+  }
+
+  void configure(UpstreamLimits newLimits) {
+    // More slots are approached by additive increase; fewer take effect at once.
+    limits = newLimits;
+    limit = Math.max(1, Math.min(limit, newLimits.slots()));
+  }
+
+  /** The largest number of requests that may be in flight now. */
+  int current(long nowNanos) {
+    return (int) Math.max(1, Math.min(limit, ceiling(nowNanos)));
+  }
+
+  /** Grows linearly from one slot to all over the cold start. */
+  private double ceiling(long nowNanos) {
+    long age = nowNanos - limits.startedAtNanos();
+    if (age >= limits.coldStartNanos()) {
+      return limits.slots();
+    }
+    double part = Math.max(0, age) / (double) limits.coldStartNanos();
+    return 1 + part * (limits.slots() - 1);
+  }
+
+  /** A request was answered in time; {@code latencyNanos} is the time to the head of the answer. */
+  void answered(Rank rank, long latencyNanos, long nowNanos) {
+    double latency = Math.max(1, (double) latencyNanos);
+    double normal = normalNanos.getOrDefault(rank, latency);
+    ratio += SHORT_WEIGHT * (latency / normal - ratio);
+    normalNanos.put(rank, normal + LONG_WEIGHT * (latency - normal));
+    if (ratio > settings.slowRatio()) {
+      decrease(settings.slowFactor(), limits.slots() * LATENCY_FLOOR, nowNanos, latencyNanos);
+    } else {
+      limit = Math.min(limits.slots(), limit + 1 / limit);
+    }
+  }
+
+  /** The upstream refused a request because it has too much work. */
+  void shed(long latencyNanos, long nowNanos) {
+    decrease(settings.shedFactor(), 1, nowNanos, latencyNanos);
+  }
+
+  /** Lowers the limit once for each round trip, because its answers all tell the same. */
+  private void decrease(double factor, double floor, long nowNanos, long roundTripNanos) {
+    if (decreased && nowNanos - decreasedAtNanos < roundTripNanos) {
+      return;
+    }
+    decreased = true;
+    decreasedAtNanos = nowNanos;
+    limit = Math.max(Math.min(limit, Math.max(1, floor)), limit * factor);
+  }
+}
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/request/admission/ServiceTimes.java
@@ -0,0 +1,57 @@
+package io.foxtaildoor.request.admission;
+
+import io.foxtaildoor.common.Rank;
+import java.util.EnumMap;
+import java.util.Map;
+
+/** Estimates of the service time by rank: mean and mean deviation, exponentially weighted. */
+final class ServiceTimes {
+  /** Weight of a new sample, the usual choice for round-trip estimates. */
+  private static final double WEIGHT = 1.0 / 8;
+
+  /**
+   * Deviations above the mean within which almost every request finishes. A request that starts
+   * with less time left is likely to occupy a slot for nothing.
+   */
+  private static final double DEVIATIONS = 2;
+
+  private final Map<Rank, Estimate> byRank = new EnumMap<>(Rank.class);
+  private double overall;
+
+  /** Mean and mean deviation of one rank. */
+  private static final class Estimate {
+    private double mean;
+    private double deviation;
+
+    Estimate(double first) {
+      mean = first;
+      deviation = first / 4;
+    }
+
+    void add(double nanos) {
+      deviation += WEIGHT * (Math.abs(nanos - mean) - deviation);
+      mean += WEIGHT * (nanos - mean);
+    }
+  }
+
+  void add(Rank rank, double nanos) {
+    overall = overall == 0 ? nanos : overall + WEIGHT * (nanos - overall);
+    Estimate estimate = byRank.get(rank);
+    if (estimate == null) {
+      byRank.put(rank, new Estimate(nanos));
+    } else {
+      estimate.add(nanos);
+    }
+  }
+
+  /** Mean over all ranks; 0 while nothing is known. */
+  double overall() {
+    return overall;
+  }
+
+  /** Time in which a request of a rank finishes almost certainly; 0 while nothing is known. */
+  double bound(Rank rank) {
+    Estimate estimate = byRank.get(rank);
+    return estimate == null ? overall : estimate.mean + DEVIATIONS * estimate.deviation;
+  }
+}
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/request/admission/Ticket.java
@@ -0,0 +1,70 @@
+package io.foxtaildoor.request.admission;
+
+import io.foxtaildoor.common.Rank;
+
+/** A request that waits for a slot or holds one. */
+public final class Ticket<T> {
+  /** Where a request is on its way. */
+  enum State {
+    QUEUED,
+    RUNNING,
+    ENDED
+  }
+
+  private final T request;
+  private final Rank rank;
+  private final long deadlineNanos;
+  private final long offeredNanos;
+  private final long sequence;
+  private long startedNanos;
+  private State state = State.QUEUED;
+
+  Ticket(T request, Rank rank, long deadlineNanos, long offeredNanos, long sequence) {
+    this.request = request;
+    this.rank = rank;
+    this.deadlineNanos = deadlineNanos;
+    this.offeredNanos = offeredNanos;
+    this.sequence = sequence;
+  }
+
+  public T request() {
+    return request;
+  }
+
+  public Rank rank() {
+    return rank;
+  }
+
+  public long deadlineNanos() {
+    return deadlineNanos;
+  }
+
+  /** Time that the request waited for its slot. */
+  public long waitNanos() {
+    return startedNanos - offeredNanos;
+  }
+
+  /** Start of the time in the slot. */
+  public long startedNanos() {
+    return startedNanos;
+  }
+
+  State state() {
+    return state;
+  }
+
+  void start(long nowNanos) {
+    state = State.RUNNING;
+    startedNanos = nowNanos;
+  }
+
+  void end() {
+    state = State.ENDED;
+  }
+
+  /** Orders by deadline; the differences allow for a monotonic clock that wraps. */
+  int compareDeadline(Ticket<T> other) {
+    int byDeadline = Long.signum(deadlineNanos - other.deadlineNanos);
+    return byDeadline != 0 ? byDeadline : Long.compare(sequence, other.sequence);
+  }
+}
--- /dev/null
+++ b/product/src/test/java/io/foxtaildoor/request/admission/AdmissionComparison.java
@@ -0,0 +1,60 @@
+package io.foxtaildoor.request.admission;
+
+import io.foxtaildoor.common.Rank;
+import io.foxtaildoor.request.admission.AdmissionSimulation.Policy;
+import io.foxtaildoor.request.admission.AdmissionSimulation.Report;
+import java.time.Duration;
+import java.util.EnumMap;
+import java.util.Map;
+
+/** Prints a comparison of the admission by rank with one queue in order of arrival. */
+public final class AdmissionComparison {
+  private static final Duration LENGTH = Duration.ofMinutes(2);
+  private static final long SEED = 1;
+  private static final double[] FLOODS = {0.8, 1.5, 3, 10};
+
+  private AdmissionComparison() {}
+
+  /** Load below capacity, in parts of it. */
+  static Map<Rank, Double> calm() {
+    return new EnumMap<>(Map.of(Rank.URGENT, 0.3, Rank.HIGH, 0.1, Rank.NORMAL, 0.1, Rank.LOW, 0.1));
+  }
+
+  /** The calm load with a flood of one rank. */
+  static Map<Rank, Double> flood(Rank rank, double times) {
+    Map<Rank, Double> load = calm();
+    load.put(rank, times);
+    return load;
+  }
+
+  /** Runs the comparison; takes no arguments. */
+  public static void main(String[] args) {
+    System.out.printf("%-14s %-6s", "load", "policy");
+    for (Rank rank : Rank.values()) {
+      System.out.printf(" %16s", rank + " in time/p99");
+    }
+    System.out.printf(" %7s %8s%n", "useful", "expired");
+    print("calm", calm());
+    for (double times : FLOODS) {
+      print("LOW x" + times, flood(Rank.LOW, times));
+    }
+    for (double times : FLOODS) {
+      print("URGENT x" + times, flood(Rank.URGENT, times));
+    }
+  }
+
+  private static void print(String name, Map<Rank, Double> load) {
+    print(name, "fifo", AdmissionSimulation.fifo(), load);
+    print(name, "ranks", AdmissionSimulation.ranked(AdmissionSimulation.RESERVED), load);
+  }
+
+  private static void print(String name, String label, Policy policy, Map<Rank, Double> load) {
+    Report report = AdmissionSimulation.run(policy, load, LENGTH, SEED);
+    System.out.printf("%-14s %-6s", name, label);
+    for (Rank rank : Rank.values()) {
+      System.out.printf(
+          " %7.2f%%/%5.0fms", 100 * report.of(rank).share(), report.of(rank).p99Millis());
+    }
+    System.out.printf(" %6.1f%% %8d%n", 100 * report.usefulWork(), report.startedExpired());
+  }
+}
--- /dev/null
+++ b/product/src/test/java/io/foxtaildoor/request/admission/AdmissionQueueTest.java
@@ -0,0 +1,218 @@
+package io.foxtaildoor.request.admission;
+
+import static io.foxtaildoor.request.admission.AdmissionSimulation.MILLIS;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import io.foxtaildoor.common.ErrorKind;
+import io.foxtaildoor.common.Rank;
+import io.foxtaildoor.request.admission.AdmissionSimulation.Report;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests of {@link AdmissionQueue}. */
+public class AdmissionQueueTest {
+  private static final Duration LENGTH = Duration.ofMinutes(1);
+
+  private static AdmissionQueue<String> queue(int slots) {
+    return new AdmissionQueue<>(
+        AdmissionSettings.defaults(), new UpstreamLimits(slots, Map.of(), 0, 0), 0);
+  }
+
+  private static Optional<String> poll(AdmissionQueue<String> queue, long nowNanos) {
+    return queue.poll(nowNanos, expired -> {}).map(Ticket::request);
+  }
+
+  /** Decisions on single requests. */
+  public static final class Decisions {
+    /** Guards against urgent work that waits behind other work, and late work before early. */
+    @Test
+    public void highestRankAndEarliestDeadlineFirst() {
+      AdmissionQueue<String> queue = queue(4);
+      queue.offer("low", Rank.LOW, 100 * MILLIS, 0);
+      queue.offer("late", Rank.URGENT, 90 * MILLIS, 0);
+      queue.offer("early", Rank.URGENT, 80 * MILLIS, 0);
+      List<String> order = new ArrayList<>();
+      for (int i = 0; i < 3; i++) {
+        order.add(poll(queue, 0).orElseThrow());
+      }
+      assertEquals(order, List.of("early", "late", "low"));
+    }
+
+    /** Guards against more requests at the upstream than it has slots. */
+    @Test
+    public void limitHolds() {
+      AdmissionQueue<String> queue = queue(1);
+      Ticket<String> first = queue.offer("a", Rank.LOW, 100 * MILLIS, 0).ticket().orElseThrow();
+      queue.offer("b", Rank.LOW, 100 * MILLIS, 0);
+      assertEquals(poll(queue, 0), Optional.of("a"));
+      assertEquals(poll(queue, 0), Optional.empty());
+      queue.finish(first, Completion.ANSWERED, MILLIS, MILLIS);
+      queue.finish(first, Completion.ANSWERED, MILLIS, MILLIS);
+      assertEquals(poll(queue, MILLIS), Optional.of("b"));
+      assertEquals(poll(queue, MILLIS), Optional.empty());
+    }
+
+    /** Guards against requests that run after their deadline or are lost without an answer. */
+    @Test
+    public void expiredRequestsAreReportedAndNotRun() {
+      AdmissionQueue<String> queue = queue(1);
+      queue.offer("a", Rank.LOW, 10 * MILLIS, 0);
+      List<String> expired = new ArrayList<>();
+      Optional<Ticket<String>> next =
+          queue.poll(10 * MILLIS, ticket -> expired.add(ticket.request()));
+      assertEquals(next, Optional.empty());
+      assertEquals(expired, List.of("a"));
+      assertTrue(queue.isEmpty());
+      assertEquals(
+          queue.offer("b", Rank.LOW, 10 * MILLIS, 10 * MILLIS).refusal(),
+          Optional.of(ErrorKind.EXPIRED));
+    }
+
+    /** Guards against work that waits although it cannot finish in time. */
+    @Test
+    public void refusesWhenWaitPassesDeadline() {
+      AdmissionQueue<String> queue = queue(1);
+      Ticket<String> first = queue.offer("a", Rank.LOW, 900 * MILLIS, 0).ticket().orElseThrow();
+      poll(queue, 0);
+      queue.finish(first, Completion.ANSWERED, 100 * MILLIS, 100 * MILLIS);
+      queue.offer("b", Rank.LOW, 900 * MILLIS, 100 * MILLIS);
+      poll(queue, 100 * MILLIS);
+      Admission<String> hopeless = queue.offer("c", Rank.LOW, 250 * MILLIS, 100 * MILLIS);
+      assertEquals(hopeless.refusal(), Optional.of(ErrorKind.OVERLOADED));
+      assertTrue(queue.offer("d", Rank.LOW, 900 * MILLIS, 100 * MILLIS).ticket().isPresent());
+    }
+
+    /** Guards against an estimate from one slow answer that refuses all work for ever. */
+    @Test
+    public void idleUpstreamTakesWorkWhateverTheEstimate() {
+      AdmissionQueue<String> queue = queue(1);
+      Ticket<String> slow = queue.offer("a", Rank.LOW, 100 * MILLIS, 0).ticket().orElseThrow();
+      poll(queue, 0);
+      queue.finish(slow, Completion.ANSWERED, 9000 * MILLIS, 9000 * MILLIS);
+      queue.offer("b", Rank.LOW, 9100 * MILLIS, 9000 * MILLIS);
+      assertEquals(poll(queue, 9000 * MILLIS), Optional.of("b"));
+    }
+
+    /** Guards against a cancelled request that runs, or a slot that it keeps. */
+    @Test
+    public void cancelledRequestLeavesItsQueue() {
+      AdmissionQueue<String> queue = queue(1);
+      Ticket<String> ticket = queue.offer("a", Rank.LOW, 100 * MILLIS, 0).ticket().orElseThrow();
+      assertTrue(queue.cancel(ticket));
+      assertFalse(queue.cancel(ticket));
+      assertEquals(poll(queue, 0), Optional.empty());
+      assertTrue(queue.isEmpty());
+    }
+
+    /** Guards against new work for a leaving upstream, and queued work that is dropped. */
+    @Test
+    public void drainRefusesNewAndFinishesQueued() {
+      AdmissionQueue<String> queue = queue(1);
+      Ticket<String> ticket = queue.offer("a", Rank.LOW, 100 * MILLIS, 0).ticket().orElseThrow();
+      queue.beginDrain();
+      assertEquals(
+          queue.offer("b", Rank.URGENT, 100 * MILLIS, 0).refusal(), Optional.of(ErrorKind.LEAVING));
+      assertEquals(poll(queue, 0), Optional.of("a"));
+      assertFalse(queue.isEmpty());
+      queue.finish(ticket, Completion.ANSWERED, MILLIS, MILLIS);
+      assertTrue(queue.isEmpty());
+    }
+  }
+
+  /** The concurrency limit. */
+  public static final class Limit {
+    /** Guards against full load on an instance that has just started. */
+    @Test
+    public void coldStartRampsUp() {
+      UpstreamLimits limits = new UpstreamLimits(9, Map.of(), 8000 * MILLIS, 0);
+      LimitController controller = new LimitController(AdmissionSettings.defaults(), limits);
+      assertEquals(controller.current(0), 1);
+      assertEquals(controller.current(4000 * MILLIS), 5);
+      assertEquals(controller.current(8000 * MILLIS), 9);
+    }
+
+    /** Guards against a limit that ignores shed load, collapses at once or never returns. */
+    @Test
+    public void shedLowersOncePerRoundTripAndRecovers() {
+      LimitController controller =
+          new LimitController(AdmissionSettings.defaults(), new UpstreamLimits(10, Map.of(), 0, 0));
+      for (int i = 0; i < 10; i++) {
+        controller.shed(10 * MILLIS, MILLIS + i);
+      }
+      assertEquals(controller.current(MILLIS), 7);
+      for (int i = 0; i < 7; i++) {
+        controller.answered(Rank.LOW, 10 * MILLIS, 20 * MILLIS);
+      }
+      assertEquals(controller.current(20 * MILLIS), 7);
+      for (int i = 0; i < 30; i++) {
+        controller.answered(Rank.LOW, 10 * MILLIS, 20 * MILLIS);
+      }
+      assertEquals(controller.current(20 * MILLIS), 10);
+    }
+
+    /** Guards against a limit that stays full while latency grows, or falls to nothing by it. */
+    @Test
+    public void latencyGrowthLowersToHalfAtMost() {
+      LimitController controller =
+          new LimitController(AdmissionSettings.defaults(), new UpstreamLimits(10, Map.of(), 0, 0));
+      for (int i = 0; i < 100; i++) {
+        controller.answered(Rank.LOW, 10 * MILLIS, i * MILLIS);
+      }
+      for (int i = 1; i < 100; i++) {
+        controller.answered(Rank.LOW, 60 * MILLIS, i * 1000L * MILLIS);
+      }
+      assertEquals(controller.current(100_000 * MILLIS), 5);
+    }
+  }
+
+  /** Floods in virtual time. */
+  public static final class Floods {
+    @DataProvider
+    public Object[][] floods() {
+      return new Object[][] {{0.8}, {1.5}, {3.0}, {10.0}};
+    }
+
+    /** Guards against urgent work that is slowed or refused by a flood of the lowest rank. */
+    @Test(dataProvider = "floods")
+    public void urgentWorkIsKeptInLowFlood(double times) {
+      Report calm = run(AdmissionComparison.calm());
+      Report flood = run(AdmissionComparison.flood(Rank.LOW, times));
+      assertTrue(flood.of(Rank.URGENT).share() >= 0.995);
+      assertTrue(flood.of(Rank.URGENT).p99Millis() <= 2 * calm.of(Rank.URGENT).p99Millis());
+      assertEquals(flood.startedExpired(), 0);
+      if (times > 1) {
+        assertTrue(flood.usefulWork() > 0.95, "useful work " + flood.usefulWork());
+      }
+    }
+
+    /** Guards against a flood of one rank that takes the reserved shares of the others. */
+    @Test(dataProvider = "floods")
+    public void reservedSharesAreKeptInUrgentFlood(double times) {
+      Map<Rank, Double> load = AdmissionComparison.flood(Rank.URGENT, times);
+      Report flood = run(load);
+      for (Map.Entry<Rank, Integer> reserved : AdmissionSimulation.RESERVED.entrySet()) {
+        double owed = reserved.getValue() / 100.0;
+        double wanted = load.get(reserved.getKey());
+        double received = flood.of(reserved.getKey()).share() * wanted;
+        assertTrue(
+            received >= 0.95 * Math.min(owed, wanted), reserved.getKey() + " got " + received);
+      }
+      assertEquals(flood.startedExpired(), 0);
+      if (times > 1) {
+        assertTrue(flood.usefulWork() > 0.95, "useful work " + flood.usefulWork());
+      }
+    }
+
+    private static Report run(Map<Rank, Double> load) {
+      return AdmissionSimulation.run(
+          AdmissionSimulation.ranked(AdmissionSimulation.RESERVED), load, LENGTH, 1);
+    }
+  }
+}
--- /dev/null
+++ b/product/src/test/java/io/foxtaildoor/request/admission/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the admission in virtual time. */
+package io.foxtaildoor.request.admission;
