Test questionnaires, generation, cross-checks and the audit trail

Cause: the new packages had no tests. They found that the YAML parser takes yes for a boolean, which was then read as false, that it hides anchors of scalars, and that syntax errors had the line of the token before the fault. Conclusion: bad input gives typed problems with places.

--- a/product/src/main/java/io/foxtaildoor/version/generation/ConfigurationGenerator.java
+++ b/product/src/main/java/io/foxtaildoor/version/generation/ConfigurationGenerator.java
@@ -1,5 +1,6 @@
 package io.foxtaildoor.version.generation;
 
+import io.foxtaildoor.common.Rank;
 import io.foxtaildoor.protocol.ReservedShare;
 import io.foxtaildoor.protocol.RouteConfiguration;
 import io.foxtaildoor.protocol.ServiceConfiguration;
@@ -51,7 +52,7 @@
             share ->
                 service.addReservedShares(
                     ReservedShare.newBuilder()
-                        .setRank(WireRank.valueOf(share.getKey().name()))
+                        .setRank(rank(share.getKey()))
                         .setPercent(share.getValue())));
     return service.build();
   }
@@ -65,10 +66,19 @@
             .setPrefix(answer.prefix())
             .setService(answer.service().value())
             .setIdempotent(answer.idempotent())
-            .setRank(WireRank.valueOf(answer.rank().name()))
+            .setRank(rank(answer.rank()))
             .setDeadlineMillis((int) answer.deadline().toMillis())
             .setMaxBodyBytes(answer.maxBodyBytes());
     answer.methods().stream().sorted().forEach(route::addMethods);
     return route.build();
   }
+
+  private static WireRank rank(Rank rank) {
+    return switch (rank) {
+      case URGENT -> WireRank.URGENT;
+      case HIGH -> WireRank.HIGH;
+      case NORMAL -> WireRank.NORMAL;
+      case LOW -> WireRank.LOW;
+    };
+  }
 }
--- a/product/src/main/java/io/foxtaildoor/version/generation/ConfigurationRenderer.java
+++ b/product/src/main/java/io/foxtaildoor/version/generation/ConfigurationRenderer.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.dataformat.yaml.YAMLMapper;
 import io.foxtaildoor.common.ErrorKind;
 import io.foxtaildoor.common.FoxtaildoorException;
+import io.foxtaildoor.common.Rank;
 import io.foxtaildoor.protocol.ReservedShare;
 import io.foxtaildoor.protocol.RouteConfiguration;
 import io.foxtaildoor.protocol.ServiceConfiguration;
@@ -53,7 +54,7 @@
     fields.put("coldStart", Amounts.duration(Duration.ofMillis(service.getColdStartMillis())));
     Map<String, Object> reserved = new LinkedHashMap<>();
     for (ReservedShare share : service.getReservedSharesList()) {
-      reserved.put(share.getRank().name(), share.getPercent());
+      reserved.put(Rank.of(share.getRankValue()).name(), share.getPercent());
     }
     fields.put("reserved", reserved);
     return fields;
@@ -68,7 +69,7 @@
     fields.put("prefix", route.getPrefix());
     fields.put("service", route.getService());
     fields.put("idempotent", route.getIdempotent());
-    fields.put("rank", route.getRank().name());
+    fields.put("rank", Rank.of(route.getRankValue()).name());
     fields.put("deadline", Amounts.duration(Duration.ofMillis(route.getDeadlineMillis())));
     fields.put("maxBody", Amounts.size(route.getMaxBodyBytes()));
     return fields;
--- a/product/src/main/java/io/foxtaildoor/version/questionnaire/Values.java
+++ b/product/src/main/java/io/foxtaildoor/version/questionnaire/Values.java
@@ -91,7 +91,14 @@
     return scalar(
         ScalarType.BOOLEAN,
         "true or false",
-        (text, reporter) -> Optional.of(Boolean.parseBoolean(text)));
+        (text, reporter) -> {
+          // The YAML parser has other words for them, such as yes and no.
+          if (!text.equals("true") && !text.equals("false")) {
+            return reporter.reject(
+                ProblemKind.MALFORMED_VALUE, Texts.quote(text) + " must be true or false");
+          }
+          return Optional.of(text.equals("true"));
+        });
   }
 
   static ValueReader<Rank> rank() {
--- a/product/src/main/java/io/foxtaildoor/version/questionnaire/YamlTreeReader.java
+++ b/product/src/main/java/io/foxtaildoor/version/questionnaire/YamlTreeReader.java
@@ -14,6 +14,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import org.yaml.snakeyaml.error.MarkedYAMLException;
 
 /**
  * Reads YAML text into nodes with line numbers. Anchors, aliases, tags and further documents are
@@ -26,36 +27,47 @@
   private static final YAMLFactory FACTORY = new YAMLFactory();
 
   private final YAMLParser parser;
+  private final int[] codePoints;
   private final ProblemList problems;
 
-  private YamlTreeReader(YAMLParser parser, ProblemList problems) {
+  private YamlTreeReader(YAMLParser parser, String text, ProblemList problems) {
     this.parser = parser;
+    this.codePoints = text.codePoints().toArray();
     this.problems = problems;
   }
 
   /** Reads the only document of a text; an unreadable one gives a problem and no node. */
   static Optional<YamlNode> read(String text, ProblemList problems) {
     try (YAMLParser parser = FACTORY.createParser(text)) {
-      return new YamlTreeReader(parser, problems).document();
-    } catch (JacksonException e) {
-      problems.add(ProblemKind.SYNTAX, "", lineOf(e.getLocation()), firstLine(e));
+      return new YamlTreeReader(parser, text, problems).document();
     } catch (IOException | RuntimeException e) {
       // The YAML scanner has unchecked exceptions of its own for some malformed texts.
-      problems.add(ProblemKind.SYNTAX, "", Problem.NO_LINE, firstLine(e));
+      problems.add(ProblemKind.SYNTAX, "", lineOf(e), reason(e));
     }
     return Optional.empty();
   }
 
-  private static int lineOf(JsonLocation location) {
-    return location == null ? Problem.NO_LINE : Math.max(location.getLineNr(), Problem.NO_LINE);
+  private static int lineOf(Exception e) {
+    // Jackson's own location is that of the last token before the fault.
+    if (e.getCause() instanceof MarkedYAMLException marked && marked.getProblemMark() != null) {
+      return marked.getProblemMark().getLine() + 1;
+    }
+    return e instanceof JacksonException j ? lineOf(j.getLocation()) : Problem.NO_LINE;
   }
 
-  private static String firstLine(Exception e) {
+  private static String reason(Exception e) {
     String message = e instanceof JacksonException j ? j.getOriginalMessage() : e.getMessage();
+    if (e.getCause() instanceof MarkedYAMLException marked) {
+      message = marked.getProblem();
+    }
     String reason = message == null ? "" : ": " + message.lines().findFirst().orElse("");
     return "the document is not well-formed YAML" + Texts.printable(reason);
   }
 
+  private static int lineOf(JsonLocation location) {
+    return location == null ? Problem.NO_LINE : Math.max(location.getLineNr(), Problem.NO_LINE);
+  }
+
   private Optional<YamlNode> document() throws IOException {
     if (parser.nextToken() == null) {
       problems.add(ProblemKind.SYNTAX, "", 1, "the document is empty");
@@ -110,7 +122,7 @@
   private void checkFeatures(String path) throws IOException {
     if (parser.isCurrentAlias()) {
       problems.add(ProblemKind.YAML_FEATURE, path, line(), "aliases are not allowed");
-    } else if (parser.getObjectId() != null) {
+    } else if (parser.getObjectId() != null || beginsWithAnchor()) {
       problems.add(ProblemKind.YAML_FEATURE, path, line(), "anchors are not allowed");
     }
     if (parser.getTypeId() != null) {
@@ -118,6 +130,12 @@
     }
   }
 
+  /** Whether the token begins with an anchor, which the parser does not tell of a scalar. */
+  private boolean beginsWithAnchor() {
+    long offset = parser.currentTokenLocation().getCharOffset();
+    return offset >= 0 && offset < codePoints.length && codePoints[(int) offset] == '&';
+  }
+
   private static ScalarType scalarType(JsonToken token) {
     return switch (token) {
       case VALUE_NUMBER_INT -> ScalarType.INTEGER;
--- /dev/null
+++ b/product/src/test/java/io/foxtaildoor/process/audit/AuditTrailTest.java
@@ -0,0 +1,126 @@
+package io.foxtaildoor.process.audit;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import io.foxtaildoor.common.MemberId;
+import io.foxtaildoor.process.platform.FaultyPlatform;
+import io.foxtaildoor.process.platform.FaultyPlatform.Fault;
+import io.foxtaildoor.process.platform.VirtualTime;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.TreeSet;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests of {@link AuditTrail}. */
+public class AuditTrailTest {
+  private Random random;
+  private VirtualTime time;
+  private FaultyPlatform platform;
+
+  @BeforeMethod
+  public void setUp() {
+    random = new Random(11);
+    time = new VirtualTime(random);
+    platform = new FaultyPlatform(time, random, 20);
+  }
+
+  private AuditTrail trail() {
+    return new AuditTrail(platform, time, AuditSettings.defaults());
+  }
+
+  private AuditEntry entry(String id, AuditKind kind) {
+    String member = id.length() % 2 == 0 ? "m" : "n";
+    return new AuditEntry(id, kind, "op", member, "t", 1, "", time.nowMillis(), "detail");
+  }
+
+  /** Reads all entries of a member, or of all, newest first. */
+  private List<String> readAll(Optional<MemberId> member) {
+    List<String> ids = new ArrayList<>();
+    Optional<AuditCursor> cursor = Optional.empty();
+    do {
+      var page = trail().page(cursor, 37, member);
+      time.run(Duration.ofMinutes(1));
+      page.join().entries().forEach(entry -> ids.add(entry.id()));
+      cursor = page.join().next().map(next -> AuditCursor.parse(next.toString()));
+    } while (cursor.isPresent());
+    return ids;
+  }
+
+  /** Guards against lost, repeated or disordered entries when segments fill up. */
+  @Test
+  public void readsEntriesOfSeveralSegmentsNewestFirst() {
+    AuditTrail trail = trail();
+    List<String> expected = new ArrayList<>();
+    List<String> ofMember = new ArrayList<>();
+    for (int i = 0; i < 450; i++) {
+      trail.record(entry("e" + i, AuditKind.APPROVAL));
+      expected.add(0, "e" + i);
+      if (("e" + i).length() % 2 == 0) {
+        ofMember.add(0, "e" + i);
+      }
+    }
+    time.run(Duration.ofMinutes(1));
+    assertEquals(trail.waiting(), 0);
+    assertTrue(trail.flush().isDone());
+    assertEquals(readAll(Optional.empty()), expected);
+    assertEquals(readAll(Optional.of(new MemberId("m"))), ofMember);
+    assertTrue(platform.entry("audit/3").exists());
+  }
+
+  /**
+   * Guards against entries written twice or never by processes that race while answers get lost.
+   */
+  @Test
+  public void appendsOnceUnderRacesAndLostAnswers() {
+    Fault[] faults = Fault.values();
+    platform.setFaults(
+        (key, write) ->
+            random.nextInt(3) > 0 || (!write && random.nextInt(3) > 0)
+                ? Fault.NONE
+                : faults[random.nextInt(faults.length)]);
+    List<AuditTrail> trails = List.of(trail(), trail(), trail());
+    TreeSet<String> expected = new TreeSet<>();
+    for (int i = 0; i < 600; i++) {
+      AuditTrail trail = trails.get(random.nextInt(trails.size()));
+      assertTrue(trail.record(entry("e" + i, AuditKind.AMENDMENT)));
+      expected.add("e" + i);
+      time.run(Duration.ofMillis(random.nextInt(100)));
+    }
+    time.run(Duration.ofHours(2));
+    platform.setFaults((key, write) -> Fault.NONE);
+    time.run(Duration.ofHours(1));
+    List<String> found = readAll(Optional.empty());
+    assertEquals(found.size(), 600);
+    assertEquals(new TreeSet<>(found), expected);
+  }
+
+  /** Guards against bad input that fills the queue or the platform. */
+  @Test
+  public void limitsRefusalsButNotApprovals() {
+    platform.setFaults((key, write) -> Fault.UNAVAILABLE);
+    AuditTrail trail = trail();
+    for (int i = 0; i < 5_000; i++) {
+      trail.record(entry("r" + i, AuditKind.REFUSAL));
+    }
+    assertEquals(trail.waiting(), AuditSettings.defaults().refusalBurst());
+    assertTrue(trail.record(entry("a", AuditKind.APPROVAL)));
+    for (int i = 0; i < 5_000; i++) {
+      trail.record(entry("s" + i, AuditKind.SUBMISSION));
+    }
+    assertEquals(trail.waiting(), AuditSettings.defaults().queueCapacity());
+    time.run(Duration.ofMinutes(10));
+    platform.setFaults((key, write) -> Fault.NONE);
+    time.run(Duration.ofMinutes(1));
+    assertEquals(trail.waiting(), 0);
+    trail.record(entry("r", AuditKind.REFUSAL));
+    time.run(Duration.ofMinutes(1));
+    var page = trail.page(Optional.empty(), 1, Optional.empty());
+    time.run(Duration.ofMinutes(1));
+    assertEquals(page.join().entries().get(0).detail(), "detail (4990 not recorded)");
+  }
+}
--- /dev/null
+++ b/product/src/test/java/io/foxtaildoor/process/audit/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of {@code io.foxtaildoor.process.audit}. */
+package io.foxtaildoor.process.audit;
--- /dev/null
+++ b/product/src/test/java/io/foxtaildoor/process/platform/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of {@code io.foxtaildoor.process.platform}. */
+package io.foxtaildoor.process.platform;
--- /dev/null
+++ b/product/src/test/java/io/foxtaildoor/version/approval/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of {@code io.foxtaildoor.version.approval}. */
+package io.foxtaildoor.version.approval;
--- /dev/null
+++ b/product/src/test/java/io/foxtaildoor/version/generation/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of {@code io.foxtaildoor.version.generation}. */
+package io.foxtaildoor.version.generation;
--- /dev/null
+++ b/product/src/test/java/io/foxtaildoor/version/questionnaire/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of {@code io.foxtaildoor.version.questionnaire}. */
+package io.foxtaildoor.version.questionnaire;
