Add the registry of idempotency keys

A booking that was handed over must not run again when its caller repeats it. A full registry refuses new keyed work instead of forgetting a key early.

--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/request/idempotency/KeyRegistry.java
@@ -0,0 +1,175 @@
+package io.foxtaildoor.request.idempotency;
+
+import io.foxtaildoor.common.ServiceId;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Remembers the keys of requests that were handed to the upstream; safe for use by several threads.
+ *
+ * <p>A key is never forgotten before its time. When there is no room for another, new keyed work is
+ * refused instead.
+ */
+public final class KeyRegistry {
+  /** Estimated size of an entry beside its key and answer. */
+  private static final int ENTRY_BYTES = 200;
+
+  private final KeyRegistrySettings settings;
+  private final List<Shard> shards = new ArrayList<>();
+
+  /** Creates an empty registry. */
+  public KeyRegistry(KeyRegistrySettings settings) {
+    this.settings = settings;
+    for (int i = 0; i < settings.shards(); i++) {
+      shards.add(new Shard());
+    }
+  }
+
+  /** Claims a key for a request that is about to be admitted. */
+  public KeyClaim claim(ServiceId service, String key, long nowNanos) {
+    FullKey full = new FullKey(service, key);
+    return shards.get(Math.floorMod(full.hashCode(), shards.size())).claim(full, nowNanos);
+  }
+
+  /** Keys remembered now, those of running requests included. */
+  public int size() {
+    int total = 0;
+    for (Shard shard : shards) {
+      total += shard.size();
+    }
+    return total;
+  }
+
+  private record FullKey(ServiceId service, String key) {
+    int bytes() {
+      return ENTRY_BYTES + key.getBytes(StandardCharsets.UTF_8).length;
+    }
+  }
+
+  private enum State {
+    RUNNING,
+    ANSWERED,
+    UNKNOWN
+  }
+
+  /** State of one key, guarded by the lock of its shard. */
+  private static final class Entry {
+    private State state = State.RUNNING;
+    private RememberedAnswer answer;
+  }
+
+  /** A key that is forgotten at a time. */
+  private record Ended(FullKey key, Entry entry, long forgetAtNanos) {}
+
+  /** Keys with equal hash; each shard has an equal part of the bounds. */
+  private final class Shard {
+    private final Map<FullKey, Entry> entries = new HashMap<>();
+    private final ArrayDeque<Ended> ended = new ArrayDeque<>();
+    private long bytes;
+
+    synchronized KeyClaim claim(FullKey key, long nowNanos) {
+      forget(nowNanos);
+      Entry known = entries.get(key);
+      if (known != null) {
+        return repeat(known);
+      }
+      if (entries.size() >= settings.maxKeys() / settings.shards()
+          || bytes + key.bytes() > maxBytes()) {
+        return new KeyClaim.Full();
+      }
+      Entry entry = new Entry();
+      entries.put(key, entry);
+      bytes += key.bytes();
+      return new KeyClaim.Granted(new HeldKey(key, entry));
+    }
+
+    private long maxBytes() {
+      return settings.maxBytes() / settings.shards();
+    }
+
+    private KeyClaim repeat(Entry known) {
+      return switch (known.state) {
+        case RUNNING -> new KeyClaim.Duplicate("a request with this key is running");
+        case UNKNOWN -> new KeyClaim.Duplicate("a request with this key was handed over");
+        case ANSWERED ->
+            known.answer == null
+                ? new KeyClaim.Duplicate("the answer to this key was not kept")
+                : new KeyClaim.Answered(known.answer);
+      };
+    }
+
+    private void forget(long nowNanos) {
+      while (!ended.isEmpty() && nowNanos - ended.peek().forgetAtNanos() >= 0) {
+        Ended oldest = ended.remove();
+        entries.remove(oldest.key());
+        bytes -= oldest.key().bytes();
+        if (oldest.entry().answer != null) {
+          bytes -= oldest.entry().answer.bytes();
+        }
+      }
+    }
+
+    synchronized int size() {
+      return entries.size();
+    }
+
+    /** The claim of a running request. */
+    private final class HeldKey implements KeyClaim.Claim {
+      private final FullKey key;
+      private final Entry entry;
+      private boolean over;
+
+      HeldKey(FullKey key, Entry entry) {
+        this.key = key;
+        this.entry = entry;
+      }
+
+      @Override
+      public void release() {
+        synchronized (Shard.this) {
+          if (!over) {
+            over = true;
+            entries.remove(key);
+            bytes -= key.bytes();
+          }
+        }
+      }
+
+      @Override
+      public void answered(RememberedAnswer answer, long nowNanos) {
+        synchronized (Shard.this) {
+          if (over) {
+            return;
+          }
+          // An answer that does not fit is left out; its key stays, so a repeat is refused.
+          boolean fits =
+              answer.bytes() <= settings.maxAnswerBytes() && bytes + answer.bytes() <= maxBytes();
+          if (fits) {
+            entry.answer = answer;
+            bytes += answer.bytes();
+          }
+          end(State.ANSWERED, nowNanos);
+        }
+      }
+
+      @Override
+      public void unknown(long nowNanos) {
+        synchronized (Shard.this) {
+          if (!over) {
+            end(State.UNKNOWN, nowNanos);
+          }
+        }
+      }
+
+      private void end(State state, long nowNanos) {
+        over = true;
+        entry.state = state;
+        ended.add(new Ended(key, entry, nowNanos + settings.retention().toNanos()));
+      }
+    }
+  }
+}
--- /dev/null
+++ b/product/src/test/java/io/foxtaildoor/request/idempotency/KeyRegistryTest.java
@@ -0,0 +1,85 @@
+package io.foxtaildoor.request.idempotency;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import com.google.protobuf.ByteString;
+import io.foxtaildoor.common.ServiceId;
+import io.foxtaildoor.protocol.ResponseStart;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests of {@link KeyRegistry}. */
+public class KeyRegistryTest {
+  private static final ServiceId SERVICE = new ServiceId("bookings");
+  private static final long RETENTION = TimeUnit.MINUTES.toNanos(10);
+
+  private KeyRegistry registry;
+
+  @BeforeMethod
+  public void create() {
+    registry = new KeyRegistry(new KeyRegistrySettings(1, 3, 10_000, 1000, Duration.ofMinutes(10)));
+  }
+
+  private static RememberedAnswer answer(int bytes) {
+    return new RememberedAnswer(
+        ResponseStart.newBuilder().setStatus(201).build(), ByteString.copyFrom(new byte[bytes]));
+  }
+
+  private KeyClaim.Claim granted(String key, long nowNanos) {
+    return ((KeyClaim.Granted) registry.claim(SERVICE, key, nowNanos)).claim();
+  }
+
+  private void assertClaim(Class<? extends KeyClaim> expected, String key, long nowNanos) {
+    assertEquals(registry.claim(SERVICE, key, nowNanos).getClass(), expected);
+  }
+
+  /** Guards against a second run of a request that runs, ran or may have run. */
+  @Test
+  public void repeatsNeverRun() {
+    KeyRegistry all = new KeyRegistry(KeyRegistrySettings.defaults());
+    KeyClaim.Claim claim = ((KeyClaim.Granted) all.claim(SERVICE, "k", 0)).claim();
+    assertTrue(all.claim(SERVICE, "k", 1) instanceof KeyClaim.Duplicate);
+    claim.answered(answer(10), 2);
+    claim.release();
+    assertEquals(all.claim(SERVICE, "k", 3), new KeyClaim.Answered(answer(10)));
+    KeyClaim.Claim other = ((KeyClaim.Granted) all.claim(new ServiceId("x"), "k", 0)).claim();
+    other.unknown(4);
+    assertTrue(all.claim(new ServiceId("x"), "k", 5) instanceof KeyClaim.Duplicate);
+  }
+
+  /** Guards against a key that stays taken although its request was refused as not run. */
+  @Test
+  public void releasedKeyIsFree() {
+    granted("released", 0).release();
+    assertEquals(registry.size(), 0);
+    granted("released", 0).release();
+  }
+
+  /** Guards against a full registry that forgets a key before its time. */
+  @Test
+  public void fullRegistryRefusesNewKeys() {
+    KeyRegistry small =
+        new KeyRegistry(new KeyRegistrySettings(1, 1, 10_000, 1000, Duration.ofMinutes(10)));
+    ((KeyClaim.Granted) small.claim(SERVICE, "a", 0)).claim().unknown(0);
+    assertEquals(small.claim(SERVICE, "b", RETENTION - 1), new KeyClaim.Full());
+    assertTrue(small.claim(SERVICE, "a", RETENTION - 1) instanceof KeyClaim.Duplicate);
+    assertTrue(small.claim(SERVICE, "b", RETENTION) instanceof KeyClaim.Granted);
+    assertEquals(small.claim(SERVICE, "a", 9 * RETENTION), new KeyClaim.Full());
+  }
+
+  /** Guards against answers that pass the byte bound, and bytes that are not given back. */
+  @Test
+  public void boundsTheBytes() {
+    granted("large", 0).answered(answer(2000), 0);
+    assertClaim(KeyClaim.Duplicate.class, "large", 1);
+    for (int i = 0; i < 50; i++) {
+      long now = (i + 1) * RETENTION;
+      granted("k" + i, now).answered(answer(900), now);
+      assertClaim(KeyClaim.Answered.class, "k" + i, now);
+      assertEquals(registry.size(), 1);
+    }
+  }
+}
--- /dev/null
+++ b/product/src/test/java/io/foxtaildoor/request/idempotency/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the remembered keys. */
+package io.foxtaildoor.request.idempotency;
