--- a/product/src/main/java/io/foxtaildoor/request/idempotency/package-info.java
+++ b/product/src/main/java/io/foxtaildoor/request/idempotency/package-info.java
@@ -1,2 +1,2 @@
-/** Where keyed requests were dispatched, so that a repeat reaches the node that knows the key. */
+/** Memory of keyed requests: on the caller's node where they were sent, on the owner what ran. */
 package io.foxtaildoor.request.idempotency;
