Add operator resources and the control plane of a node

Cause: operators reach approvals, status and audit over HTTP, and a node needs its membership, distribution and platform reader wired together. Conclusion: compiles and passes the unit tests; not run as a process yet.

--- a/product/src/main/java/io/foxtaildoor/process/cli/OperatorClient.java
+++ b/product/src/main/java/io/foxtaildoor/process/cli/OperatorClient.java
@@ -45,6 +45,7 @@
   /**
    * Calls the node.
    *
+   * @return the answer, or the problem document of a questionnaire with {@code problems}
    * @throws FoxtaildoorException with the kind that the problem document names
    */
   JsonNode call(String method, String path, Map<String, String> headers, byte[] body) {
@@ -57,10 +58,19 @@
       request.header("Authorization", "Bearer " + credentials);
     }
     HttpResponse<byte[]> response = send(request.build());
-    if (response.statusCode() >= 400) {
-      throw failure(response);
+    if (response.statusCode() < 400) {
+      return Json.tree(response.body());
     }
-    return Json.tree(response.body());
+    if (!isProblem(response)) {
+      throw new FoxtaildoorException(
+          ErrorKind.INTERNAL, "the node answered with status " + response.statusCode());
+    }
+    JsonNode problem = Json.tree(response.body());
+    if (problem.has("problems")) {
+      return problem;
+    }
+    throw new FoxtaildoorException(
+        kind(problem.path("kind").asText()), problem.path("detail").asText());
   }
 
   private URI uri(String path) {
@@ -84,15 +94,9 @@
     }
   }
 
-  private static FoxtaildoorException failure(HttpResponse<byte[]> response) {
+  private static boolean isProblem(HttpResponse<byte[]> response) {
     String type = response.headers().firstValue("Content-Type").orElse("");
-    if (!type.startsWith(Problem.CONTENT_TYPE)) {
-      return new FoxtaildoorException(
-          ErrorKind.INTERNAL, "the node answered with status " + response.statusCode());
-    }
-    JsonNode problem = Json.tree(response.body());
-    String detail = problem.path("detail").asText();
-    return new FoxtaildoorException(kind(problem.path("kind").asText()), detail);
+    return type.startsWith(Problem.CONTENT_TYPE);
   }
 
   private static ErrorKind kind(String headerValue) {
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/process/node/ControlPlane.java
@@ -0,0 +1,244 @@
+package io.foxtaildoor.process.node;
+
+import static io.foxtaildoor.process.settings.NodeSettings.CLUSTER;
+import static io.foxtaildoor.process.settings.NodeSettings.CONTACTS;
+import static io.foxtaildoor.process.settings.NodeSettings.DATA_CENTRE;
+import static io.foxtaildoor.process.settings.NodeSettings.REGION;
+
+import io.foxtaildoor.common.DataCentreId;
+import io.foxtaildoor.common.NodeId;
+import io.foxtaildoor.connection.link.ControlHandler;
+import io.foxtaildoor.connection.link.LinkIdentity;
+import io.foxtaildoor.connection.link.LinkMetrics;
+import io.foxtaildoor.connection.link.LinkSettings;
+import io.foxtaildoor.connection.link.NettyControlCaller;
+import io.foxtaildoor.process.membership.Membership;
+import io.foxtaildoor.process.membership.MembershipCallbacks;
+import io.foxtaildoor.process.membership.NodeRecord;
+import io.foxtaildoor.process.membership.NodeState;
+import io.foxtaildoor.process.membership.NodeStatus;
+import io.foxtaildoor.process.platform.ConfigurationReader;
+import io.foxtaildoor.process.platform.ContactDirectory;
+import io.foxtaildoor.process.platform.HttpPlatformClient;
+import io.foxtaildoor.process.platform.ReaderElection;
+import io.foxtaildoor.process.platform.ReaderLeaseKeeper;
+import io.foxtaildoor.process.platform.ReaderSettings;
+import io.foxtaildoor.process.settings.Settings;
+import io.foxtaildoor.protocol.Frame;
+import io.foxtaildoor.version.distribution.ConfigurationDistributor;
+import io.foxtaildoor.version.manifest.ConfigurationHolder;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Stream;
+
+/** Membership, configuration distribution and reading of the platform on one node. */
+final class ControlPlane {
+  /** Time between looks at the platform's contacts while the node knows no other node. */
+  private static final Duration CONTACT_INTERVAL = Duration.ofSeconds(15);
+
+  private final NodeContext context;
+  private final LinkIdentity identity;
+  private final NettyControlCaller caller;
+  private final HttpPlatformClient platform;
+  private final ConfigurationHolder holder;
+  private final ConfigurationDistributor distributor;
+  private final Membership membership;
+  private final ReaderLeaseKeeper lease;
+  private final ConfigurationReader reader;
+  private final ContactDirectory contacts;
+  private volatile boolean stopping;
+
+  /**
+   * Creates the parts without starting them.
+   *
+   * @param peerAddress address of the peer listener, which is bound already
+   */
+  ControlPlane(NodeContext context, InetSocketAddress peerAddress, LinkMetrics linkMetrics) {
+    this.context = context;
+    ModuleSettings modules = new ModuleSettings(context.settings());
+    identity = identity(context, this);
+    caller =
+        new NettyControlCaller(
+            context.group(), LinkSettings.defaults(), identity, linkMetrics, context.clock());
+    platform =
+        new HttpPlatformClient(
+            modules.platform(), context.group(), context.clock(), context.random());
+    holder = new ConfigurationHolder(context.invariants());
+    distributor =
+        new ConfigurationDistributor(
+            modules.distribution(),
+            holder,
+            caller,
+            (stamp, fanout) -> membership().sendNotices(stamp, fanout),
+            context.scheduler(),
+            context.clock(),
+            context.random(),
+            context.registry());
+    membership =
+        new Membership(
+            modules.membership(),
+            self(context, peerAddress),
+            context.group(),
+            context.clock(),
+            context.random(),
+            caller,
+            new MembershipCallbacks(
+                () -> holder.current().stamp(), distributor::heard, this::status));
+    ReaderSettings readerSettings = modules.reader();
+    DataCentreId dataCentre = context.settings().get(DATA_CENTRE);
+    lease =
+        new ReaderLeaseKeeper(
+            new ReaderElection(
+                context.nodeId(),
+                dataCentre,
+                readerSettings,
+                context.clock().getAsLong(),
+                context.random()),
+            platform,
+            this::aliveInDataCentre,
+            context.scheduler(),
+            context.clock());
+    reader =
+        new ConfigurationReader(
+            dataCentre,
+            peerAddress,
+            readerSettings,
+            platform,
+            platform.partFetches(),
+            lease::isReader,
+            distributor,
+            context.scheduler(),
+            context.clock(),
+            context.random());
+    contacts = new ContactDirectory(platform, readerSettings.contacts());
+  }
+
+  private static LinkIdentity identity(NodeContext context, ControlPlane controlPlane) {
+    return new LinkIdentity(
+        context.settings().get(CLUSTER),
+        context.nodeId(),
+        () -> controlPlane.membership().self().incarnation());
+  }
+
+  private static NodeRecord self(NodeContext context, InetSocketAddress peerAddress) {
+    Settings settings = context.settings();
+    return new NodeRecord(
+        context.nodeId(),
+        peerAddress,
+        settings.get(REGION),
+        settings.get(DATA_CENTRE),
+        context.incarnation(),
+        NodeState.ALIVE,
+        Optional.empty());
+  }
+
+  private NodeStatus status() {
+    return holder
+        .lastRejection()
+        .map(
+            rejection ->
+                new NodeStatus(
+                    holder.current().stamp(),
+                    rejection.offered().version(),
+                    rejection.reason(),
+                    context.invariants().totalBreaches()))
+        .orElseGet(
+            () ->
+                new NodeStatus(
+                    holder.current().stamp(), 0, "", context.invariants().totalBreaches()));
+  }
+
+  private Collection<NodeId> aliveInDataCentre() {
+    DataCentreId dataCentre = context.settings().get(DATA_CENTRE);
+    return membership.nodes().stream()
+        .filter(node -> node.dataCentre().equals(dataCentre))
+        .filter(node -> node.state().acceptsWork())
+        .map(NodeRecord::id)
+        .toList();
+  }
+
+  /** Starts everything; the node begins to join. */
+  void start() {
+    membership.setContacts(context.settings().get(CONTACTS));
+    membership.start();
+    distributor.start();
+    lease.start();
+    reader.start();
+    long delay = context.random().nextLong(CONTACT_INTERVAL.toNanos());
+    context.scheduler().schedule(delay, this::refreshContacts);
+  }
+
+  /**
+   * Adds the platform's contacts to those of the settings while the node knows no other node, so
+   * that either source alone is enough to join.
+   */
+  private void refreshContacts() {
+    if (stopping) {
+      return;
+    }
+    if (membership.nodes().size() <= 1) {
+      contacts
+          .read(context.settings().get(DATA_CENTRE))
+          .thenAccept(
+              found ->
+                  membership.setContacts(
+                      Stream.concat(context.settings().get(CONTACTS).stream(), found.stream())
+                          .distinct()
+                          .toList()));
+    }
+    context.scheduler().schedule(CONTACT_INTERVAL.toNanos(), this::refreshContacts);
+  }
+
+  /** Handlers of control frames from other nodes. */
+  Map<Frame.BodyCase, ControlHandler> controlHandlers() {
+    return Map.of(
+        Frame.BodyCase.CONFIGURATION_PULL, distributor,
+        Frame.BodyCase.PART_REQUEST, distributor,
+        Frame.BodyCase.STATE_DIGEST, membership,
+        Frame.BodyCase.STATE_EXCHANGE, membership);
+  }
+
+  Membership membership() {
+    return membership;
+  }
+
+  ConfigurationHolder holder() {
+    return holder;
+  }
+
+  ConfigurationDistributor distributor() {
+    return distributor;
+  }
+
+  HttpPlatformClient platform() {
+    return platform;
+  }
+
+  LinkIdentity identity() {
+    return identity;
+  }
+
+  /** Stops reading the platform and gives the lease back. */
+  void stopReading() {
+    stopping = true;
+    reader.close();
+    lease.close();
+  }
+
+  /** Announces that the node has left and closes all connections. */
+  void close() {
+    membership.close();
+    membership.closed().join();
+    distributor.close();
+    caller.close();
+    platform.close();
+  }
+
+  List<NodeRecord> nodes() {
+    return membership.nodes();
+  }
+}
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/process/node/ModuleSettings.java
@@ -0,0 +1,104 @@
+package io.foxtaildoor.process.node;
+
+import static io.foxtaildoor.process.settings.NodeSettings.ANNOUNCEMENT_EXPIRY;
+import static io.foxtaildoor.process.settings.NodeSettings.CLUSTER;
+import static io.foxtaildoor.process.settings.NodeSettings.FANOUT;
+import static io.foxtaildoor.process.settings.NodeSettings.PLATFORM_BACKGROUND_BURST;
+import static io.foxtaildoor.process.settings.NodeSettings.PLATFORM_BACKGROUND_RATE;
+import static io.foxtaildoor.process.settings.NodeSettings.PLATFORM_CALL_TIMEOUT;
+import static io.foxtaildoor.process.settings.NodeSettings.PLATFORM_ENDPOINTS;
+import static io.foxtaildoor.process.settings.NodeSettings.PLATFORM_START_DELAY;
+import static io.foxtaildoor.process.settings.NodeSettings.PROBE_INTERVAL;
+import static io.foxtaildoor.process.settings.NodeSettings.SUSPICION_TIMEOUT;
+
+import io.foxtaildoor.process.membership.MembershipSettings;
+import io.foxtaildoor.process.platform.CallRate;
+import io.foxtaildoor.process.platform.PlatformSettings;
+import io.foxtaildoor.process.platform.ReaderSettings;
+import io.foxtaildoor.process.settings.Settings;
+import io.foxtaildoor.version.distribution.DistributionSettings;
+import io.netty.util.NetUtil;
+import java.net.URI;
+import java.time.Duration;
+import java.util.List;
+
+/** Fills the settings of each module from the node's settings. */
+final class ModuleSettings {
+  /** The indirect probe must come well before the next probe. */
+  private static final int INDIRECT_PROBE_DIVISOR = 3;
+
+  private final Settings settings;
+
+  ModuleSettings(Settings settings) {
+    this.settings = settings;
+  }
+
+  PlatformSettings platform() {
+    List<URI> endpoints =
+        settings.get(PLATFORM_ENDPOINTS).stream()
+            .map(endpoint -> URI.create("http://" + NetUtil.toSocketAddressString(endpoint)))
+            .toList();
+    PlatformSettings standard = PlatformSettings.defaults(endpoints);
+    return new PlatformSettings(
+        endpoints,
+        settings.get(PLATFORM_CALL_TIMEOUT),
+        standard.connectTimeout(),
+        standard.connectionsPerEndpoint(),
+        new CallRate(
+            settings.get(PLATFORM_BACKGROUND_BURST), settings.get(PLATFORM_BACKGROUND_RATE)),
+        standard.interactive(),
+        standard.partFetches(),
+        standard.initialBackoff(),
+        standard.maxBackoff());
+  }
+
+  ReaderSettings reader() {
+    ReaderSettings standard = ReaderSettings.defaults();
+    return new ReaderSettings(
+        standard.slots(),
+        standard.candidates(),
+        standard.leaseTime(),
+        settings.get(PLATFORM_START_DELAY),
+        standard.watchWait(),
+        standard.contacts(),
+        standard.contactsInterval(),
+        standard.parallelFetches());
+  }
+
+  MembershipSettings membership() {
+    MembershipSettings standard = MembershipSettings.defaults();
+    Duration probeInterval = settings.get(PROBE_INTERVAL);
+    Duration indirect = probeInterval.dividedBy(INDIRECT_PROBE_DIVISOR);
+    return new MembershipSettings(
+        settings.get(CLUSTER),
+        probeInterval,
+        indirect.compareTo(standard.indirectDelay()) < 0 ? indirect : standard.indirectDelay(),
+        standard.indirectProbes(),
+        settings.get(SUSPICION_TIMEOUT),
+        standard.disseminationFactor(),
+        standard.maxUpdateBytes(),
+        standard.fanout(),
+        standard.urgentRepeat(),
+        standard.exchangePeriod(),
+        standard.deadMemory(),
+        standard.leftMemory(),
+        standard.deadProbePeriod(),
+        settings.get(ANNOUNCEMENT_EXPIRY),
+        standard.joinRetry());
+  }
+
+  DistributionSettings distribution() {
+    DistributionSettings standard = DistributionSettings.defaults();
+    return new DistributionSettings(
+        settings.get(FANOUT),
+        standard.noticeRepeat(),
+        standard.maxPulls(),
+        standard.hedgeAfter(),
+        standard.pullTimeout(),
+        standard.initialBackoff(),
+        standard.maxBackoff(),
+        standard.loggedVersions(),
+        standard.maxFrameBytes(),
+        standard.maxSources());
+  }
+}
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/process/node/package-info.java
@@ -0,0 +1,2 @@
+/** Assembles the parts of a node process, starts them and stops them gracefully. */
+package io.foxtaildoor.process.node;
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/process/operator/ConfigurationResources.java
@@ -0,0 +1,139 @@
+package io.foxtaildoor.process.operator;
+
+import io.foxtaildoor.common.ErrorKind;
+import io.foxtaildoor.common.FoxtaildoorException;
+import io.foxtaildoor.common.TeamId;
+import io.foxtaildoor.process.membership.Membership;
+import io.foxtaildoor.process.membership.StatusAnswer;
+import io.foxtaildoor.version.generation.ConfigurationRenderer;
+import io.foxtaildoor.version.manifest.HeldConfiguration;
+import io.foxtaildoor.version.manifest.VersionStamp;
+import java.time.Duration;
+import java.util.Comparator;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+
+/** The configuration in force on this node and on the fleet over HTTP. */
+public final class ConfigurationResources {
+  /** Time over which status requests to up to 100 nodes are spread and answered. */
+  private static final Duration QUERY_BASE = Duration.ofMillis(300);
+
+  /** Keeps a status query of 12,000 nodes at 4,000 requests a second. */
+  private static final Duration QUERY_PER_NODE = Duration.ofNanos(250_000);
+
+  private final Supplier<HeldConfiguration> held;
+  private final Membership membership;
+
+  /** Creates the resources. */
+  public ConfigurationResources(Supplier<HeldConfiguration> held, Membership membership) {
+    this.held = held;
+    this.membership = membership;
+  }
+
+  /** Adds the resources to a router. */
+  public void register(OperatorRouter router) {
+    router
+        .add("GET", "/v1/config", request -> CompletableFuture.completedFuture(show(request)))
+        .add("GET", "/v1/config/status", request -> status());
+  }
+
+  private OperatorResponse show(OperatorRequest request) {
+    HeldConfiguration configuration = held.get();
+    List<TeamId> teams =
+        request
+            .parameter("team")
+            .map(team -> List.of(new TeamId(team)))
+            .orElseGet(() -> List.copyOf(configuration.manifest().entries().keySet()));
+    return OperatorResponse.json(
+        200,
+        new ShownConfiguration(
+            configuration.stamp().version(),
+            configuration.stamp().digest().hex(),
+            teams.stream().map(team -> shownTeam(configuration, team)).toList()));
+  }
+
+  /** JSON form of the configuration in force. */
+  private record ShownConfiguration(long version, String digest, List<ShownTeam> teams) {}
+
+  /** JSON form of one team's part; the configuration is YAML text. */
+  private record ShownTeam(String team, String digest, String configuration) {}
+
+  private static ShownTeam shownTeam(HeldConfiguration configuration, TeamId team) {
+    return configuration
+        .team(team)
+        .map(
+            part ->
+                new ShownTeam(
+                    team.value(),
+                    configuration.manifest().entries().get(team).hex(),
+                    ConfigurationRenderer.render(part)))
+        .orElseThrow(
+            () ->
+                new FoxtaildoorException(
+                    ErrorKind.NOT_FOUND, "no configuration of team " + team + " is in force"));
+  }
+
+  private CompletableFuture<OperatorResponse> status() {
+    Duration time = QUERY_BASE.plus(QUERY_PER_NODE.multipliedBy(membership.nodes().size()));
+    return membership
+        .queryStatus(time)
+        .thenApply(answers -> OperatorResponse.json(200, fleetStatus(answers)));
+  }
+
+  /** JSON form of the fleet's status; the version is the newest that any node holds. */
+  private record FleetStatus(
+      long version, String digest, int inForce, int total, List<ShownNode> nodes) {}
+
+  /** JSON form of one node's status; versions are 0 when the node did not answer. */
+  private record ShownNode(
+      String node,
+      String dataCentre,
+      String state,
+      boolean answered,
+      long version,
+      String digest,
+      long rejectedVersion,
+      String rejection,
+      long breaches) {}
+
+  private FleetStatus fleetStatus(List<StatusAnswer> answers) {
+    VersionStamp newest =
+        answers.stream()
+            .flatMap(answer -> answer.status().stream())
+            .map(status -> status.held())
+            .reduce(held.get().stamp(), (left, right) -> right.isNewerThan(left) ? right : left);
+    List<ShownNode> nodes =
+        answers.stream()
+            .map(ConfigurationResources::shownNode)
+            .sorted(Comparator.comparing(ShownNode::node))
+            .toList();
+    int inForce = (int) nodes.stream().filter(node -> holds(node, newest)).count();
+    return new FleetStatus(newest.version(), newest.digest().hex(), inForce, nodes.size(), nodes);
+  }
+
+  private static boolean holds(ShownNode node, VersionStamp stamp) {
+    return node.version() == stamp.version() && node.digest().equals(stamp.digest().hex());
+  }
+
+  private static ShownNode shownNode(StatusAnswer answer) {
+    String id = answer.node().id().value();
+    String dataCentre = answer.node().dataCentre().value();
+    String state = answer.node().state().name();
+    return answer
+        .status()
+        .map(
+            status ->
+                new ShownNode(
+                    id,
+                    dataCentre,
+                    state,
+                    true,
+                    status.held().version(),
+                    status.held().digest().hex(),
+                    status.rejectedVersion(),
+                    status.rejection(),
+                    status.breaches()))
+        .orElseGet(() -> new ShownNode(id, dataCentre, state, false, 0, "", 0, "", 0));
+  }
+}
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/process/operator/HealthResources.java
@@ -0,0 +1,43 @@
+package io.foxtaildoor.process.operator;
+
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
+
+/** Liveness, readiness and metrics over HTTP. */
+public final class HealthResources {
+  private static final String METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8";
+
+  private final BooleanSupplier ready;
+  private final PrometheusMeterRegistry registry;
+
+  /**
+   * Creates the resources.
+   *
+   * @param ready whether callers should send requests to this node
+   */
+  public HealthResources(BooleanSupplier ready, PrometheusMeterRegistry registry) {
+    this.ready = ready;
+    this.registry = registry;
+  }
+
+  /** Adds the resources to a router. */
+  public void register(OperatorRouter router) {
+    router
+        .add("GET", "/health/live", request -> state(true))
+        .add("GET", "/health/ready", request -> state(ready.getAsBoolean()))
+        .add(
+            "GET",
+            "/metrics",
+            request ->
+                CompletableFuture.completedFuture(
+                    OperatorResponse.text(200, METRICS_TYPE, registry.scrape())));
+  }
+
+  private static CompletableFuture<OperatorResponse> state(boolean good) {
+    return CompletableFuture.completedFuture(
+        good
+            ? OperatorResponse.text(200, "text/plain", "ok\n")
+            : OperatorResponse.text(503, "text/plain", "not ready\n"));
+  }
+}
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/process/operator/HistoryAnswer.java
@@ -0,0 +1,25 @@
+package io.foxtaildoor.process.operator;
+
+import io.foxtaildoor.version.approval.RevisionSummary;
+import java.time.Instant;
+import java.util.List;
+
+/** JSON form of a questionnaire's revisions, newest first. */
+record HistoryAnswer(List<Revision> revisions) {
+  /** One revision. */
+  record Revision(
+      long revision, String operator, String at, String proposalDigest, String questionnaire) {}
+
+  static HistoryAnswer of(List<RevisionSummary> summaries) {
+    return new HistoryAnswer(summaries.stream().map(HistoryAnswer::revision).toList());
+  }
+
+  private static Revision revision(RevisionSummary summary) {
+    return new Revision(
+        summary.revision(),
+        summary.operator(),
+        Instant.ofEpochMilli(summary.atEpochMillis()).toString(),
+        summary.proposal().hex(),
+        summary.document());
+  }
+}
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/process/operator/OperatorAnswers.java
@@ -0,0 +1,80 @@
+package io.foxtaildoor.process.operator;
+
+import io.foxtaildoor.common.ErrorKind;
+import io.foxtaildoor.common.Json;
+import io.foxtaildoor.common.Problem;
+import io.foxtaildoor.version.approval.OperatorResult;
+import java.util.List;
+import java.util.function.Function;
+
+/** Turns results of the approval service into answers. */
+final class OperatorAnswers {
+  private OperatorAnswers() {}
+
+  /** A problem document with the faults of a questionnaire. */
+  private record InvalidAnswer(
+      String type,
+      String title,
+      int status,
+      String detail,
+      String kind,
+      List<QuestionnaireFault> problems) {}
+
+  /** One fault of a questionnaire. */
+  private record QuestionnaireFault(String path, int line, String message) {}
+
+  /** A problem document with what another operator made of the team. */
+  private record ConflictAnswer(
+      String type, String title, int status, String detail, String kind, TeamAnswer present) {}
+
+  /** Answers with a mapped value, or with the problem document of a failure. */
+  static <T> OperatorResponse of(OperatorResult<T> result, Function<T, ?> mapping) {
+    if (result instanceof OperatorResult.Done<T> done) {
+      return OperatorResponse.json(200, mapping.apply(done.value()));
+    }
+    if (result instanceof OperatorResult.Invalid<T> invalid) {
+      return invalid(invalid.problems());
+    }
+    if (result instanceof OperatorResult.Conflict<T> conflict) {
+      return conflict(conflict);
+    }
+    OperatorResult.Failed<T> failed = (OperatorResult.Failed<T>) result;
+    return OperatorResponse.problem(failed.kind(), failed.message());
+  }
+
+  private static OperatorResponse invalid(
+      List<io.foxtaildoor.version.questionnaire.Problem> problems) {
+    Problem problem =
+        Problem.of(ErrorKind.BAD_CONFIGURATION, problems.size() + " problems in the questionnaire");
+    List<QuestionnaireFault> faults =
+        problems.stream()
+            .map(fault -> new QuestionnaireFault(fault.path(), fault.line(), fault.message()))
+            .toList();
+    return answer(
+        problem.status(),
+        new InvalidAnswer(
+            problem.type(),
+            problem.title(),
+            problem.status(),
+            problem.detail(),
+            problem.kind(),
+            faults));
+  }
+
+  private static <T> OperatorResponse conflict(OperatorResult.Conflict<T> conflict) {
+    Problem problem = Problem.of(ErrorKind.CONFLICT, conflict.message());
+    return answer(
+        problem.status(),
+        new ConflictAnswer(
+            problem.type(),
+            problem.title(),
+            problem.status(),
+            problem.detail(),
+            problem.kind(),
+            TeamAnswer.of(conflict.present())));
+  }
+
+  private static OperatorResponse answer(int status, Object document) {
+    return new OperatorResponse(status, Problem.CONTENT_TYPE, Json.bytes(document));
+  }
+}
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/process/operator/ProposalAnswer.java
@@ -0,0 +1,17 @@
+package io.foxtaildoor.process.operator;
+
+import io.foxtaildoor.common.Digest;
+import io.foxtaildoor.version.approval.ProposalReport;
+
+/** JSON form of a proposal next to what is accepted. */
+record ProposalAnswer(
+    String team, String proposalDigest, String baseDigest, String configuration, String diff) {
+  static ProposalAnswer of(ProposalReport report) {
+    return new ProposalAnswer(
+        report.team().value(),
+        report.proposal().hex(),
+        report.base().map(Digest::hex).orElse(null),
+        report.rendered(),
+        report.difference());
+  }
+}
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/process/operator/SubmissionAnswer.java
@@ -0,0 +1,17 @@
+package io.foxtaildoor.process.operator;
+
+import io.foxtaildoor.common.Digest;
+import io.foxtaildoor.version.approval.SubmissionReceipt;
+
+/** JSON form of a stored questionnaire's receipt. */
+record SubmissionAnswer(
+    String team, long revision, String proposalDigest, String baseDigest, boolean repeated) {
+  static SubmissionAnswer of(SubmissionReceipt receipt) {
+    return new SubmissionAnswer(
+        receipt.team().value(),
+        receipt.revision(),
+        receipt.proposal().hex(),
+        receipt.base().map(Digest::hex).orElse(null),
+        receipt.repeated());
+  }
+}
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/process/operator/TeamAnswer.java
@@ -0,0 +1,30 @@
+package io.foxtaildoor.process.operator;
+
+import io.foxtaildoor.common.Digest;
+import io.foxtaildoor.version.approval.TeamState;
+import java.time.Instant;
+
+/** JSON form of a team's present questionnaire and of what is accepted of it. */
+record TeamAnswer(
+    String team,
+    String member,
+    long revision,
+    String questionnaire,
+    String proposalDigest,
+    String submittedBy,
+    String at,
+    String acceptedDigest,
+    long version) {
+  static TeamAnswer of(TeamState state) {
+    return new TeamAnswer(
+        state.team().value(),
+        state.member().value(),
+        state.revision(),
+        state.document(),
+        state.proposal().hex(),
+        state.submittedBy(),
+        Instant.ofEpochMilli(state.atEpochMillis()).toString(),
+        state.accepted().map(Digest::hex).orElse(null),
+        state.version());
+  }
+}
