Add commands that run a node and create operators

Cause: the binary needs a process to start. Change: node command with graceful stop, operator creation against the platform.

--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/process/cli/NodeCommand.java
@@ -0,0 +1,69 @@
+package io.foxtaildoor.process.cli;
+
+import io.foxtaildoor.common.ErrorKind;
+import io.foxtaildoor.common.FoxtaildoorException;
+import io.foxtaildoor.process.node.BoundPorts;
+import io.foxtaildoor.process.node.Node;
+import io.foxtaildoor.process.settings.NodeSettings;
+import io.foxtaildoor.process.settings.Settings;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.Optional;
+import org.kohsuke.args4j.Option;
+
+/** Runs a node until the process is told to stop. */
+final class NodeCommand implements Command {
+  @Option(
+      name = "--settings",
+      metaVar = "FILE",
+      required = true,
+      usage = "settings of the node in YAML")
+  private String settingsFile;
+
+  @Option(
+      name = "--port-file",
+      metaVar = "FILE",
+      usage = "file that receives the bound ports, for port 0 in the settings")
+  private String portFile;
+
+  @Override
+  public int run(PrintStream out, PrintStream err) {
+    Optional<Settings> settings = SettingsFiles.read(settingsFile, err);
+    if (settings.isEmpty()) {
+      return Main.EXIT_USAGE;
+    }
+    LogLevels.set(settings.get().get(NodeSettings.LOG_LEVEL));
+    Node node = new Node(settings.get());
+    BoundPorts ports = node.start();
+    // The hook ends the process itself, since a signal's own exit code would not be 0.
+    Runtime.getRuntime()
+        .addShutdownHook(
+            new Thread(
+                () -> Runtime.getRuntime().halt(node.stop() ? Main.EXIT_DONE : Main.EXIT_FAILED),
+                "stop"));
+    if (portFile != null) {
+      write(ports);
+    }
+    node.awaitStop();
+    return Main.EXIT_DONE;
+  }
+
+  /** Writes the ports so that a reader sees the whole file or none. */
+  private void write(BoundPorts ports) {
+    Path target = Path.of(portFile);
+    Path temporary = Path.of(portFile + ".tmp");
+    String text =
+        "caller=%d%npeer=%d%noperator=%d%n"
+            .formatted(ports.caller(), ports.peer(), ports.operator());
+    try {
+      Files.writeString(temporary, text);
+      Files.move(temporary, target, StandardCopyOption.ATOMIC_MOVE);
+    } catch (IOException e) {
+      throw new FoxtaildoorException(
+          ErrorKind.INVALID_INPUT, "port file " + portFile + " cannot be written", e);
+    }
+  }
+}
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/process/cli/OperatorCreateCommand.java
@@ -0,0 +1,68 @@
+package io.foxtaildoor.process.cli;
+
+import io.foxtaildoor.common.Digest;
+import io.foxtaildoor.common.MemberId;
+import io.foxtaildoor.process.node.Administration;
+import io.foxtaildoor.process.settings.Settings;
+import io.foxtaildoor.version.approval.Operator;
+import io.foxtaildoor.version.approval.OperatorResult;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import org.kohsuke.args4j.Option;
+
+/** Creates an operator record on the platform, for an administrator who can reach it. */
+final class OperatorCreateCommand implements Command {
+  private static final int MIN_TOKEN_CHARS = 12;
+
+  @Option(
+      name = "--settings",
+      metaVar = "FILE",
+      required = true,
+      usage = "settings of any node; its platform endpoints are used")
+  private String settingsFile;
+
+  @Option(name = "--member", metaVar = "MEMBER", required = true, usage = "member acted for")
+  private String member;
+
+  @Option(name = "--name", metaVar = "NAME", required = true, usage = "name of the operator")
+  private String name;
+
+  @Option(
+      name = "--token-file",
+      metaVar = "FILE",
+      required = true,
+      usage = "file with the operator's token; the platform keeps its hash only")
+  private String tokenFile;
+
+  @Override
+  public int run(PrintStream out, PrintStream err) {
+    Operator operator = new Operator(name, new MemberId(member));
+    byte[] file = OperatorCommand.readFile(tokenFile);
+    String token = new String(file, StandardCharsets.UTF_8).strip();
+    if (token.length() < MIN_TOKEN_CHARS) {
+      err.println("foxtaildoor: a token needs at least " + MIN_TOKEN_CHARS + " characters");
+      return Main.EXIT_USAGE;
+    }
+    Optional<Settings> settings = SettingsFiles.read(settingsFile, err);
+    if (settings.isEmpty()) {
+      return Main.EXIT_USAGE;
+    }
+    OperatorResult<Operator> result =
+        Administration.createOperator(
+            settings.get(), operator, Digest.of(token.getBytes(StandardCharsets.UTF_8)));
+    return report(result, out, err);
+  }
+
+  private static int report(OperatorResult<Operator> result, PrintStream out, PrintStream err) {
+    if (result instanceof OperatorResult.Done<Operator> done) {
+      out.println(
+          "operator " + done.value().name() + " of member " + done.value().member() + " created");
+      return Main.EXIT_DONE;
+    }
+    if (result instanceof OperatorResult.Failed<Operator> failed) {
+      err.println("foxtaildoor: " + failed.message());
+    }
+    return result.errorKind().exitCode();
+  }
+}
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/process/node/Administration.java
@@ -0,0 +1,72 @@
+package io.foxtaildoor.process.node;
+
+import io.foxtaildoor.common.Digest;
+import io.foxtaildoor.process.audit.AuditSettings;
+import io.foxtaildoor.process.audit.AuditTrail;
+import io.foxtaildoor.process.platform.HttpPlatformClient;
+import io.foxtaildoor.process.platform.PlatformClient;
+import io.foxtaildoor.process.settings.Settings;
+import io.foxtaildoor.version.approval.ApprovalEnvironment;
+import io.foxtaildoor.version.approval.ApprovalService;
+import io.foxtaildoor.version.approval.ApprovalSettings;
+import io.foxtaildoor.version.approval.Operator;
+import io.foxtaildoor.version.approval.OperatorResult;
+import io.foxtaildoor.version.manifest.HeldConfiguration;
+import io.netty.channel.EventLoopGroup;
+import java.time.Duration;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+
+/** Administrators' work on the platform without a running node. */
+public final class Administration {
+  private static final Duration AUDIT_FLUSH_LIMIT = Duration.ofSeconds(5);
+
+  private Administration() {}
+
+  /** Creates an operator and records it in the audit trail; blocks until it is done. */
+  public static OperatorResult<Operator> createOperator(
+      Settings settings, Operator operator, Digest tokenHash) {
+    EventLoopGroup group = EventLoops.create(1);
+    ExecutorService worker = Executors.newSingleThreadExecutor();
+    try (HttpPlatformClient client =
+        new HttpPlatformClient(
+            new ModuleSettings(settings).platform(),
+            group,
+            System::nanoTime,
+            EventLoops.random())) {
+      return create(client.interactive(), group, worker, operator, tokenHash);
+    } finally {
+      worker.shutdown();
+      EventLoops.stop(group);
+    }
+  }
+
+  private static OperatorResult<Operator> create(
+      PlatformClient platform,
+      EventLoopGroup group,
+      ExecutorService worker,
+      Operator operator,
+      Digest tokenHash) {
+    AuditTrail audit =
+        new AuditTrail(platform, EventLoops.delayer(group), AuditSettings.defaults());
+    ApprovalService service =
+        new ApprovalService(
+            new ApprovalEnvironment(
+                platform,
+                audit,
+                EventLoops.delayer(group),
+                worker,
+                System::currentTimeMillis,
+                EventLoops.random(),
+                () -> HeldConfiguration.EMPTY),
+            ApprovalSettings.defaults(),
+            (manifest, parts) -> {});
+    OperatorResult<Operator> result = service.bootstrap(operator, tokenHash).join();
+    audit
+        .flush()
+        .completeOnTimeout(null, AUDIT_FLUSH_LIMIT.toMillis(), TimeUnit.MILLISECONDS)
+        .join();
+    return result;
+  }
+}
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/process/node/EventLoops.java
@@ -0,0 +1,38 @@
+package io.foxtaildoor.process.node;
+
+import io.foxtaildoor.process.platform.Delayer;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.security.SecureRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+
+/** Event loops, timers and random numbers of a process. */
+final class EventLoops {
+  private static final long QUIET_MILLIS = 0;
+  private static final long STOP_LIMIT_MILLIS = 2_000;
+
+  private EventLoops() {}
+
+  static EventLoopGroup create(int threads) {
+    return new MultiThreadIoEventLoopGroup(
+        threads, new DefaultThreadFactory("loop"), NioIoHandler.newFactory());
+  }
+
+  static Delayer delayer(EventLoopGroup group) {
+    return (delay, task) -> group.schedule(task, delay.toNanos(), TimeUnit.NANOSECONDS);
+  }
+
+  /** A generator that several threads may use, seeded by the operating system. */
+  static RandomGenerator random() {
+    return new java.util.Random(new SecureRandom().nextLong());
+  }
+
+  static void stop(EventLoopGroup group) {
+    group
+        .shutdownGracefully(QUIET_MILLIS, STOP_LIMIT_MILLIS, TimeUnit.MILLISECONDS)
+        .awaitUninterruptibly();
+  }
+}
