--- a/product/src/main/java/io/foxtaildoor/version/approval/AcceptedHead.java
+++ b/product/src/main/java/io/foxtaildoor/version/approval/AcceptedHead.java
@@ -43,6 +43,11 @@
         ErrorKind.BAD_CONFIGURATION, "the head record on the platform does not have its digest");
   }
 
+  /** Whether one of the last versions was made by a write. */
+  boolean hasWrite(String writeId) {
+    return record.getRecentWriteIdsList().contains(writeId);
+  }
+
   long version() {
     return manifest.version();
   }
--- a/product/src/main/java/io/foxtaildoor/version/approval/ApproveOperation.java
+++ b/product/src/main/java/io/foxtaildoor/version/approval/ApproveOperation.java
@@ -11,7 +11,6 @@
 import io.foxtaildoor.version.manifest.HeldConfiguration;
 import io.foxtaildoor.version.manifest.VersionStamp;
 import java.time.Duration;
-import java.util.Arrays;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -153,7 +152,7 @@
                         AcceptedHead.KEY,
                         head.keyRevision(),
                         update.content(),
-                        entry -> isOurs(AcceptedHead.of(entry), next.stamp(), writeId)))
+                        entry -> AcceptedHead.of(entry).hasWrite(writeId)))
         .whenComplete(
             (outcome, error) ->
                 parts
@@ -168,16 +167,6 @@
             environment.worker());
   }
 
-  /** Whether a head is the one of this write, or the one that directly replaced it. */
-  private static boolean isOurs(AcceptedHead present, VersionStamp written, String writeId) {
-    if (present.record().getApproval().getWriteId().equals(writeId)) {
-      return true;
-    }
-    byte[] previous = present.record().getPreviousDigest().toByteArray();
-    return present.version() == written.version() + 1
-        && Arrays.equals(previous, written.digest().bytes());
-  }
-
   private CompletableFuture<OperatorResult<ApprovalReceipt>> attemptLater(int number) {
     long mean = settings.retryDelay().toMillis() * Math.min(number, 8);
     Duration wait = Duration.ofMillis(environment.random().nextLong(2 * mean + 1));
--- a/product/src/main/java/io/foxtaildoor/version/approval/HeadUpdate.java
+++ b/product/src/main/java/io/foxtaildoor/version/approval/HeadUpdate.java
@@ -11,6 +11,7 @@
 import io.foxtaildoor.protocol.ManifestEntry;
 import io.foxtaildoor.protocol.RetiredPart;
 import io.foxtaildoor.version.manifest.Manifest;
+import java.util.List;
 import java.util.Set;
 import java.util.SortedMap;
 import java.util.TreeMap;
@@ -18,6 +19,12 @@
 /** The head record that replaces another one by accepting a part. */
 @SuppressWarnings("ArrayRecordComponent") // The content is handed on, never compared.
 record HeadUpdate(Manifest manifest, byte[] content) {
+  /**
+   * Versions whose write ids the head keeps. A write is settled within seconds, in which far fewer
+   * versions are made.
+   */
+  private static final int RECENT_WRITES = 32;
+
   /**
    * Makes the next head.
    *
@@ -53,6 +60,10 @@
               .setDigest(bytes(replaced))
               .setRetiredAtVersion(manifest.version()));
     }
+    List<String> recent = head.record().getRecentWriteIdsList();
+    next.addAllRecentWriteIds(
+            recent.subList(Math.max(0, recent.size() - RECENT_WRITES + 1), recent.size()))
+        .addRecentWriteIds(approval.getWriteId());
     byte[] content = next.build().toByteArray();
     if (content.length > PlatformClient.MAX_VALUE_BYTES) {
       throw new FoxtaildoorException(
--- a/product/src/test/java/io/foxtaildoor/process/platform/FaultyPlatform.java
+++ b/product/src/test/java/io/foxtaildoor/process/platform/FaultyPlatform.java
@@ -32,10 +32,8 @@
   private final Random random;
   private final int maxLatencyMillis;
   private final Map<String, PlatformEntry> entries = new HashMap<>();
-  private final List<String> effectiveWrites = new ArrayList<>();
+  private final List<PlatformEntry> effectiveWrites = new ArrayList<>();
   private BiFunction<String, Boolean, Fault> faults = (key, isWrite) -> Fault.NONE;
-  private Runnable beforeNextWrite = () -> {};
-  private String watchedKey = "";
   private long nextRevision = 1;
 
   public FaultyPlatform(VirtualTime time, Random random, int maxLatencyMillis) {
@@ -49,15 +47,14 @@
     faults = chooser;
   }
 
-  /** Runs an action once, right before the next write of a key takes effect. */
-  public void beforeWriteOf(String key, Runnable action) {
-    watchedKey = key;
-    beforeNextWrite = action;
+  /** The entries after the writes that took effect, in their order. */
+  public List<PlatformEntry> effectiveWrites() {
+    return effectiveWrites;
   }
 
-  /** Keys of the writes that took effect, in their order. */
-  public List<String> effectiveWrites() {
-    return effectiveWrites;
+  /** The keys that exist with a prefix. */
+  public List<String> keys(String prefix) {
+    return entries.keySet().stream().filter(key -> key.startsWith(prefix)).toList();
   }
 
   public PlatformEntry entry(String key) {
@@ -115,17 +112,12 @@
   }
 
   private PlatformResult<PlatformEntry> apply(String key, long expected, Runnable change) {
-    if (key.equals(watchedKey)) {
-      Runnable action = beforeNextWrite;
-      watchedKey = "";
-      action.run();
-    }
     PlatformEntry present = entry(key);
     if (present.revision() != expected) {
       return new PlatformResult.Conflict<>(present);
     }
     change.run();
-    effectiveWrites.add(key);
+    effectiveWrites.add(entry(key));
     return new PlatformResult.Done<>(entry(key));
   }
 
--- a/protocol/src/main/java/io/foxtaildoor/protocol/ConfigurationHead.java
+++ b/protocol/src/main/java/io/foxtaildoor/protocol/ConfigurationHead.java
@@ -25,6 +25,7 @@
     previousDigest_ = com.google.protobuf.ByteString.EMPTY;
     entries_ = emptyProtobufList();
     retiredParts_ = emptyProtobufList();
+    recentWriteIds_ = com.google.protobuf.GeneratedMessageLite.emptyProtobufList();
   }
 
   private int bitField0_;
@@ -343,6 +344,165 @@
     retiredParts_.remove(index);
   }
 
+  public static final int RECENT_WRITE_IDS_FIELD_NUMBER = 7;
+  private com.google.protobuf.Internal.ProtobufList<java.lang.String> recentWriteIds_;
+
+  /**
+   *
+   *
+   * <pre>
+   * Write ids of the last 32 versions, this one last; they settle a write that others followed.
+   * </pre>
+   *
+   * <code>repeated string recent_write_ids = 7;</code>
+   *
+   * @return A list containing the recentWriteIds.
+   */
+  @java.lang.Override
+  public java.util.List<java.lang.String> getRecentWriteIdsList() {
+    return recentWriteIds_;
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * Write ids of the last 32 versions, this one last; they settle a write that others followed.
+   * </pre>
+   *
+   * <code>repeated string recent_write_ids = 7;</code>
+   *
+   * @return The count of recentWriteIds.
+   */
+  @java.lang.Override
+  public int getRecentWriteIdsCount() {
+    return recentWriteIds_.size();
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * Write ids of the last 32 versions, this one last; they settle a write that others followed.
+   * </pre>
+   *
+   * <code>repeated string recent_write_ids = 7;</code>
+   *
+   * @param index The index of the element to return.
+   * @return The recentWriteIds at the given index.
+   */
+  @java.lang.Override
+  public java.lang.String getRecentWriteIds(int index) {
+    return recentWriteIds_.get(index);
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * Write ids of the last 32 versions, this one last; they settle a write that others followed.
+   * </pre>
+   *
+   * <code>repeated string recent_write_ids = 7;</code>
+   *
+   * @param index The index of the value to return.
+   * @return The bytes of the recentWriteIds at the given index.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString getRecentWriteIdsBytes(int index) {
+    return com.google.protobuf.ByteString.copyFromUtf8(recentWriteIds_.get(index));
+  }
+
+  private void ensureRecentWriteIdsIsMutable() {
+    com.google.protobuf.Internal.ProtobufList<java.lang.String> tmp = recentWriteIds_;
+    if (!tmp.isModifiable()) {
+      recentWriteIds_ = com.google.protobuf.GeneratedMessageLite.mutableCopy(tmp);
+    }
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * Write ids of the last 32 versions, this one last; they settle a write that others followed.
+   * </pre>
+   *
+   * <code>repeated string recent_write_ids = 7;</code>
+   *
+   * @param index The index to set the value at.
+   * @param value The recentWriteIds to set.
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void setRecentWriteIds(int index, java.lang.String value) {
+    value.getClass(); // minimal bytecode null check
+    ensureRecentWriteIdsIsMutable();
+    recentWriteIds_.set(index, value);
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * Write ids of the last 32 versions, this one last; they settle a write that others followed.
+   * </pre>
+   *
+   * <code>repeated string recent_write_ids = 7;</code>
+   *
+   * @param value The recentWriteIds to add.
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void addRecentWriteIds(java.lang.String value) {
+    value.getClass(); // minimal bytecode null check
+    ensureRecentWriteIdsIsMutable();
+    recentWriteIds_.add(value);
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * Write ids of the last 32 versions, this one last; they settle a write that others followed.
+   * </pre>
+   *
+   * <code>repeated string recent_write_ids = 7;</code>
+   *
+   * @param values The recentWriteIds to add.
+   */
+  private void addAllRecentWriteIds(java.lang.Iterable<java.lang.String> values) {
+    ensureRecentWriteIdsIsMutable();
+    com.google.protobuf.AbstractMessageLite.addAll(values, recentWriteIds_);
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * Write ids of the last 32 versions, this one last; they settle a write that others followed.
+   * </pre>
+   *
+   * <code>repeated string recent_write_ids = 7;</code>
+   */
+  private void clearRecentWriteIds() {
+    recentWriteIds_ = com.google.protobuf.GeneratedMessageLite.emptyProtobufList();
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * Write ids of the last 32 versions, this one last; they settle a write that others followed.
+   * </pre>
+   *
+   * <code>repeated string recent_write_ids = 7;</code>
+   *
+   * @param value The bytes of the recentWriteIds to add.
+   */
+  private void addRecentWriteIdsBytes(com.google.protobuf.ByteString value) {
+    checkByteStringIsUtf8(value);
+    ensureRecentWriteIdsIsMutable();
+    recentWriteIds_.add(value.toStringUtf8());
+  }
+
   public static io.foxtaildoor.protocol.ConfigurationHead parseFrom(java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return com.google.protobuf.GeneratedMessageLite.parseFrom(DEFAULT_INSTANCE, data);
@@ -770,6 +930,162 @@
       return this;
     }
 
+    /**
+     *
+     *
+     * <pre>
+     * Write ids of the last 32 versions, this one last; they settle a write that others followed.
+     * </pre>
+     *
+     * <code>repeated string recent_write_ids = 7;</code>
+     *
+     * @return A list containing the recentWriteIds.
+     */
+    @java.lang.Override
+    public java.util.List<java.lang.String> getRecentWriteIdsList() {
+      return java.util.Collections.unmodifiableList(instance.getRecentWriteIdsList());
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Write ids of the last 32 versions, this one last; they settle a write that others followed.
+     * </pre>
+     *
+     * <code>repeated string recent_write_ids = 7;</code>
+     *
+     * @return The count of recentWriteIds.
+     */
+    @java.lang.Override
+    public int getRecentWriteIdsCount() {
+      return instance.getRecentWriteIdsCount();
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Write ids of the last 32 versions, this one last; they settle a write that others followed.
+     * </pre>
+     *
+     * <code>repeated string recent_write_ids = 7;</code>
+     *
+     * @param index The index of the element to return.
+     * @return The recentWriteIds at the given index.
+     */
+    @java.lang.Override
+    public java.lang.String getRecentWriteIds(int index) {
+      return instance.getRecentWriteIds(index);
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Write ids of the last 32 versions, this one last; they settle a write that others followed.
+     * </pre>
+     *
+     * <code>repeated string recent_write_ids = 7;</code>
+     *
+     * @param index The index of the value to return.
+     * @return The bytes of the recentWriteIds at the given index.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString getRecentWriteIdsBytes(int index) {
+      return instance.getRecentWriteIdsBytes(index);
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Write ids of the last 32 versions, this one last; they settle a write that others followed.
+     * </pre>
+     *
+     * <code>repeated string recent_write_ids = 7;</code>
+     *
+     * @param index The index to set the value at.
+     * @param value The recentWriteIds to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRecentWriteIds(int index, java.lang.String value) {
+      copyOnWrite();
+      instance.setRecentWriteIds(index, value);
+      return this;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Write ids of the last 32 versions, this one last; they settle a write that others followed.
+     * </pre>
+     *
+     * <code>repeated string recent_write_ids = 7;</code>
+     *
+     * @param value The recentWriteIds to add.
+     * @return This builder for chaining.
+     */
+    public Builder addRecentWriteIds(java.lang.String value) {
+      copyOnWrite();
+      instance.addRecentWriteIds(value);
+      return this;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Write ids of the last 32 versions, this one last; they settle a write that others followed.
+     * </pre>
+     *
+     * <code>repeated string recent_write_ids = 7;</code>
+     *
+     * @param values The recentWriteIds to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllRecentWriteIds(java.lang.Iterable<java.lang.String> values) {
+      copyOnWrite();
+      instance.addAllRecentWriteIds(values);
+      return this;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Write ids of the last 32 versions, this one last; they settle a write that others followed.
+     * </pre>
+     *
+     * <code>repeated string recent_write_ids = 7;</code>
+     *
+     * @return This builder for chaining.
+     */
+    public Builder clearRecentWriteIds() {
+      copyOnWrite();
+      instance.clearRecentWriteIds();
+      return this;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Write ids of the last 32 versions, this one last; they settle a write that others followed.
+     * </pre>
+     *
+     * <code>repeated string recent_write_ids = 7;</code>
+     *
+     * @param value The bytes of the recentWriteIds to add.
+     * @return This builder for chaining.
+     */
+    public Builder addRecentWriteIdsBytes(com.google.protobuf.ByteString value) {
+      copyOnWrite();
+      instance.addRecentWriteIdsBytes(value);
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:foxtaildoor.ConfigurationHead)
   }
 
@@ -801,10 +1117,11 @@
                 "approval_",
                 "retiredParts_",
                 io.foxtaildoor.protocol.RetiredPart.class,
+                "recentWriteIds_",
               };
           java.lang.String info =
-              "\u0000\u0006\u0000\u0001\u0001\u0006\u0006\u0000\u0002\u0000\u0001\u0003\u0002\n"
-                  + "\u0003\n\u0004\u001b\u0005\u1009\u0000\u0006\u001b";
+              "\u0000\u0007\u0000\u0001\u0001\u0007\u0007\u0000\u0003\u0000\u0001\u0003\u0002\n"
+                  + "\u0003\n\u0004\u001b\u0005\u1009\u0000\u0006\u001b\u0007\u021a";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
         }
       case GET_DEFAULT_INSTANCE:
--- a/protocol/src/main/java/io/foxtaildoor/protocol/ConfigurationHeadOrBuilder.java
+++ b/protocol/src/main/java/io/foxtaildoor/protocol/ConfigurationHeadOrBuilder.java
@@ -69,4 +69,58 @@
 
   /** <code>repeated .foxtaildoor.RetiredPart retired_parts = 6;</code> */
   int getRetiredPartsCount();
+
+  /**
+   *
+   *
+   * <pre>
+   * Write ids of the last 32 versions, this one last; they settle a write that others followed.
+   * </pre>
+   *
+   * <code>repeated string recent_write_ids = 7;</code>
+   *
+   * @return A list containing the recentWriteIds.
+   */
+  java.util.List<java.lang.String> getRecentWriteIdsList();
+
+  /**
+   *
+   *
+   * <pre>
+   * Write ids of the last 32 versions, this one last; they settle a write that others followed.
+   * </pre>
+   *
+   * <code>repeated string recent_write_ids = 7;</code>
+   *
+   * @return The count of recentWriteIds.
+   */
+  int getRecentWriteIdsCount();
+
+  /**
+   *
+   *
+   * <pre>
+   * Write ids of the last 32 versions, this one last; they settle a write that others followed.
+   * </pre>
+   *
+   * <code>repeated string recent_write_ids = 7;</code>
+   *
+   * @param index The index of the element to return.
+   * @return The recentWriteIds at the given index.
+   */
+  java.lang.String getRecentWriteIds(int index);
+
+  /**
+   *
+   *
+   * <pre>
+   * Write ids of the last 32 versions, this one last; they settle a write that others followed.
+   * </pre>
+   *
+   * <code>repeated string recent_write_ids = 7;</code>
+   *
+   * @param index The index of the element to return.
+   * @return The recentWriteIds at the given index.
+   */
+  com.google.protobuf.ByteString getRecentWriteIdsBytes(int index);
 }
