Test the platform client, the reader election and the distribution

Change: contract tests against the stand-in with a fault table and scripted bad answers; election in virtual time with paused holders and outages; distribution in simulated fleets with seeded faults. Fix: a failed pull is logged without its stack trace. Conclusion: the faults of the table give the typed results that were specified.

--- a/product/src/main/java/io/foxtaildoor/version/distribution/ConfigurationDistributor.java
+++ b/product/src/main/java/io/foxtaildoor/version/distribution/ConfigurationDistributor.java
@@ -299,7 +299,9 @@
 
   private void failed(PullPlanner.Pull pull, Throwable cause) {
     metrics.failedPulls.increment();
-    LOG.log(System.Logger.Level.INFO, "pull from {0} failed: {1}", pull.source(), cause);
+    Throwable reason = cause.getCause() == null ? cause : cause.getCause();
+    LOG.log(
+        System.Logger.Level.DEBUG, "pull from {0} failed: {1}", pull.source(), reason.getMessage());
     synchronized (lock) {
       planner.failed(pull, clock.getAsLong());
     }
--- /dev/null
+++ b/product/src/test/java/io/foxtaildoor/process/platform/HttpPlatformClientAnswersTest.java
@@ -0,0 +1,198 @@
+package io.foxtaildoor.process.platform;
+
+import static io.foxtaildoor.process.platform.HttpPlatformClientTest.await;
+import static io.foxtaildoor.process.platform.HttpPlatformClientTest.done;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Malformed, late and half-closed answers to {@link HttpPlatformClient}. */
+public class HttpPlatformClientAnswersTest {
+  private static final String GOOD = "{\"key\":\"k\",\"revision\":1,\"value\":\"\"}";
+
+  private EventLoopGroup group;
+  private ServerSocket server;
+  private HttpPlatformClient client;
+  private final BlockingQueue<Exchange> script = new LinkedBlockingQueue<>();
+
+  /** Answers one request on a connection. */
+  private interface Exchange {
+    void answer(Socket socket) throws IOException;
+  }
+
+  @BeforeMethod
+  public void start() throws IOException {
+    script.clear();
+    group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    Thread acceptor = new Thread(this::accept, "acceptor");
+    acceptor.setDaemon(true);
+    acceptor.start();
+    var address = (InetSocketAddress) server.getLocalSocketAddress();
+    PlatformSettings settings =
+        HttpPlatformClientTest.settings(
+            List.of(HttpPlatformClientTest.uri(address)),
+            Duration.ofSeconds(2),
+            new CallRate(1_000, 1_000));
+    client = new HttpPlatformClient(settings, group, System::nanoTime, new Random(1));
+  }
+
+  @AfterMethod
+  public void stop() throws IOException {
+    client.close();
+    server.close();
+    group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+  }
+
+  private void accept() {
+    while (!server.isClosed()) {
+      try {
+        Socket socket = server.accept();
+        Thread connection = new Thread(() -> serve(socket), "connection");
+        connection.setDaemon(true);
+        connection.start();
+      } catch (IOException e) {
+        return;
+      }
+    }
+  }
+
+  private void serve(Socket socket) {
+    try (socket) {
+      while (readRequest(socket.getInputStream())) {
+        script.take().answer(socket);
+      }
+    } catch (IOException e) {
+      // The client closed the connection, which a test may expect.
+      assertTrue(socket.isClosed());
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  /** Reads a request without a body up to the empty line. */
+  private static boolean readRequest(InputStream in) throws IOException {
+    int matched = 0;
+    while (matched < 4) {
+      int next = in.read();
+      if (next < 0) {
+        return false;
+      }
+      matched = next == "\r\n\r\n".charAt(matched) ? matched + 1 : 0;
+    }
+    return true;
+  }
+
+  private static Exchange answer(String text) {
+    return socket -> socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+  }
+
+  private static Exchange answerAndClose(String text) {
+    return socket -> {
+      answer(text).answer(socket);
+      socket.close();
+    };
+  }
+
+  private static String ok(String body) {
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+  }
+
+  @DataProvider
+  Object[][] malformed() {
+    return new Object[][] {
+      {answerAndClose("")},
+      {answerAndClose("HTTP/1.1 200 OK\r\nContent-Le")},
+      {answerAndClose("HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n{\"key\":\"k\",")},
+      {answerAndClose("\u0001\u0002 not HTTP at all\r\n\r\n")},
+      {answer(ok("{\"key\":\"k\",\"revision\":"))},
+      {answer(ok("[]"))},
+      {answer(ok("{\"key\":\"other\",\"revision\":1,\"value\":\"\"}"))},
+      {answer(ok("{\"key\":\"k\",\"revision\":\"x\",\"value\":\"\"}"))},
+      {answer(ok("{\"key\":\"k\",\"revision\":1,\"value\":\"?\"}"))},
+      {answer("HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n")},
+      {answer("HTTP/1.1 500 Fault\r\nContent-Length: 0\r\n\r\n")},
+      {(Exchange) Socket::shutdownOutput},
+    };
+  }
+
+  /** Guards against a truncated or garbage answer that is taken for a result. */
+  @Test(dataProvider = "malformed")
+  public void malformedAnswerTellsNothing(Object exchange) {
+    script.add((Exchange) exchange);
+    var read = await(client.get("k"));
+    assertTrue(read instanceof PlatformResult.Unavailable, read.toString());
+    script.clear();
+    script.add((Exchange) exchange);
+    var write = await(client.compareAndDelete("k", 1));
+    assertTrue(write instanceof PlatformResult.OutcomeUnknown, write.toString());
+  }
+
+  /** Guards against the late answer to one call being given to the next call. */
+  @Test
+  public void lateAnswerIsNotGivenToTheNextCall() throws InterruptedException {
+    String late = "{\"key\":\"k\",\"revision\":99,\"value\":\"\"}";
+    BlockingQueue<Boolean> release = new LinkedBlockingQueue<>();
+    script.add(
+        socket -> {
+          try {
+            release.take();
+          } catch (InterruptedException e) {
+            throw new UncheckedIOException(new IOException(e));
+          }
+          answer(ok(late)).answer(socket);
+        });
+    assertTrue(await(client.get("k")) instanceof PlatformResult.Unavailable);
+    release.put(true);
+    script.add(answer(ok(GOOD)));
+    assertEquals(done(client.get("k")).revision(), 1);
+  }
+
+  /** Guards against an answer that nobody asked for being given to the next call. */
+  @Test
+  public void unsolicitedAnswerClosesTheConnection() {
+    String extra = "{\"key\":\"k\",\"revision\":99,\"value\":\"\"}";
+    script.add(answer(ok(GOOD) + ok(extra)));
+    assertEquals(done(client.get("k")).revision(), 1);
+    script.add(answer(ok(GOOD)));
+    PlatformResult<PlatformEntry> next = await(client.get("k"));
+    boolean mixedUp =
+        next instanceof PlatformResult.Done<PlatformEntry> d && d.value().revision() == 99;
+    assertEquals(mixedUp, false);
+  }
+
+  /** Guards against an idle connection that the platform closed and that is used for ever. */
+  @Test
+  public void connectionClosedWhileIdleIsReplaced() {
+    script.add(answerAndClose(ok(GOOD)));
+    done(client.get("k"));
+    PlatformResult<PlatformEntry> next = null;
+    for (int i = 0; i < 3 && !(next instanceof PlatformResult.Done); i++) {
+      script.clear();
+      script.add(answer(ok(GOOD)));
+      next = await(client.get("k"));
+    }
+    assertTrue(next instanceof PlatformResult.Done, String.valueOf(next));
+  }
+}
--- /dev/null
+++ b/product/src/test/java/io/foxtaildoor/process/platform/HttpPlatformClientTest.java
@@ -0,0 +1,344 @@
+package io.foxtaildoor.process.platform;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import io.foxtaildoor.standins.platform.PlatformStandIn;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Contract of {@link HttpPlatformClient} against the stand-in, with faults. */
+public class HttpPlatformClientTest {
+  /** Not reached even on a busy machine. */
+  private static final Duration PATIENT = Duration.ofSeconds(20);
+
+  private static final Duration NO_BACKOFF = Duration.ofNanos(1);
+
+  private HttpPlatformClientTest() {}
+
+  static PlatformSettings settings(List<URI> endpoints, Duration timeout, CallRate background) {
+    CallRate ample = new CallRate(1_000, 1_000);
+    return new PlatformSettings(
+        endpoints, timeout, timeout, 4, background, ample, ample, NO_BACKOFF, NO_BACKOFF);
+  }
+
+  static URI uri(InetSocketAddress address) {
+    return URI.create("http://127.0.0.1:" + address.getPort());
+  }
+
+  static <T> T await(CompletableFuture<T> future) {
+    return future.orTimeout(30, TimeUnit.SECONDS).join();
+  }
+
+  static <T> T done(CompletableFuture<PlatformResult<T>> future) {
+    PlatformResult<T> result = await(future);
+    if (result instanceof PlatformResult.Done<T> done) {
+      return done.value();
+    }
+    throw new AssertionError("not done: " + result);
+  }
+
+  static byte[] bytes(String text) {
+    return text.getBytes(StandardCharsets.UTF_8);
+  }
+
+  /** Starts a stand-in and a client for each test. */
+  abstract static class WithStandIn {
+    EventLoopGroup group;
+    PlatformStandIn platform;
+    HttpPlatformClient client;
+
+    /** Has a short deadline, for calls that are expected to miss it. */
+    HttpPlatformClient hasty;
+
+    @BeforeClass
+    public void startGroup() {
+      group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    }
+
+    @BeforeMethod
+    public void start() {
+      platform = PlatformStandIn.start(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+      client = client(PATIENT, new CallRate(1_000, 1_000));
+      hasty = client(Duration.ofMillis(300), new CallRate(1_000, 1_000));
+    }
+
+    HttpPlatformClient client(Duration timeout, CallRate background) {
+      PlatformSettings settings = settings(List.of(uri(platform.address())), timeout, background);
+      return new HttpPlatformClient(settings, group, System::nanoTime, new Random(1));
+    }
+
+    @AfterMethod
+    public void stop() {
+      client.close();
+      hasty.close();
+      platform.close();
+    }
+
+    @AfterClass
+    public void stopGroup() {
+      group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+    }
+  }
+
+  /** The calls without faults. */
+  public static final class Calls extends WithStandIn {
+    /** Guards against a lost update when two operators write. */
+    @Test
+    public void writesOnlyFromTheExpectedRevision() {
+      assertEquals(done(client.get("questionnaire/a b+c")).revision(), 0);
+      PlatformEntry first = done(client.compareAndSet("questionnaire/a b+c", 0, bytes("1")));
+      PlatformResult<PlatformEntry> second =
+          await(client.compareAndSet("questionnaire/a b+c", 0, bytes("2")));
+      PlatformEntry present = ((PlatformResult.Conflict<PlatformEntry>) second).present();
+      assertEquals(present.revision(), first.revision());
+      assertEquals(present.value(), bytes("1"));
+      assertEquals(done(client.get("questionnaire/a b+c")).value(), bytes("1"));
+    }
+
+    /** Guards against a key that is written again at a revision that a reader knows already. */
+    @Test
+    public void deletedKeyGetsNewRevision() {
+      long first = done(client.compareAndSet("k", 0, bytes("1"))).revision();
+      assertEquals(done(client.compareAndDelete("k", first)).exists(), false);
+      assertTrue(done(client.compareAndSet("k", 0, bytes("1"))).revision() > first);
+    }
+
+    /** Guards against a limit below the platform's largest value. */
+    @Test
+    public void carriesTheLargestValue() {
+      byte[] large = new byte[PlatformClient.MAX_VALUE_BYTES];
+      Arrays.fill(large, (byte) 7);
+      done(client.compareAndSet("large", 0, large));
+      assertEquals(done(client.get("large")).value(), large);
+    }
+
+    /** Guards against a watch that misses a change or never ends. */
+    @Test
+    public void watchEndsAtAChangeOrInTime() {
+      long known = done(client.compareAndSet("head", 0, bytes("1"))).revision();
+      assertEquals(done(client.watch("head", known, Duration.ofMillis(10))).revision(), known);
+      var watch = client.watch("head", known, Duration.ofSeconds(20));
+      long next = done(client.compareAndSet("head", known, bytes("2"))).revision();
+      assertEquals(done(watch).revision(), next);
+    }
+
+    /** Guards against two holders of one lease and a token that is used after a release. */
+    @Test
+    public void leaseHasOneHolderAndGrowingTokens() {
+      Duration time = Duration.ofSeconds(30);
+      PlatformLease lease = done(client.acquireLease("readers/x/0", "a", time));
+      PlatformResult<PlatformLease> other = await(client.acquireLease("readers/x/0", "b", time));
+      assertTrue(other instanceof PlatformResult.Conflict, other.toString());
+      assertEquals(done(client.renewLease(lease)), lease);
+      done(client.releaseLease(lease));
+      assertTrue(await(client.renewLease(lease)) instanceof PlatformResult.Conflict);
+      assertTrue(done(client.acquireLease("readers/x/0", "b", time)).token() > lease.token());
+    }
+  }
+
+  /** What each fault gives for a read and for a write. */
+  public static final class Faults extends WithStandIn {
+    private static final String REFUSED = "{\"down\":\"refused\"}";
+    private static final String UNANSWERED = "{\"down\":\"unanswered\"}";
+    private static final String SLOW = "{\"slowMillis\":1500}";
+    private static final String LOST = "{\"loseAnswers\":-1}";
+    private static final String LIMITED = "{\"readsPerSecond\":1,\"writesPerSecond\":1}";
+    private static final String OVER_LIMIT = "429";
+
+    @DataProvider
+    Object[][] faults() {
+      Function<PlatformClient, CompletableFuture<?>> read = c -> c.get("k");
+      Function<PlatformClient, CompletableFuture<?>> write =
+          c -> c.compareAndSet("k", 0, bytes("w"));
+      Function<PlatformClient, CompletableFuture<?>> delete = c -> c.compareAndDelete("k", 0);
+      Function<PlatformClient, CompletableFuture<?>> acquire =
+          c -> c.acquireLease("l", "a", Duration.ofSeconds(9));
+      Class<?> unavailable = PlatformResult.Unavailable.class;
+      Class<?> unknown = PlatformResult.OutcomeUnknown.class;
+      Class<?> done = PlatformResult.Done.class;
+      return new Object[][] {
+        {REFUSED, read, unavailable},
+        {REFUSED, write, unavailable},
+        {REFUSED, acquire, unavailable},
+        {UNANSWERED, read, unavailable},
+        {UNANSWERED, write, unknown},
+        {UNANSWERED, delete, unknown},
+        {SLOW, read, unavailable},
+        {SLOW, write, unknown},
+        {LOST, read, done},
+        {LOST, write, unknown},
+        {LOST, delete, unknown},
+        {LOST, acquire, unknown},
+      };
+    }
+
+    /** Guards against a write of unknown outcome that is taken for one that did not happen. */
+    @Test(dataProvider = "faults")
+    public void givesTheTypedResult(
+        String fault, Function<PlatformClient, CompletableFuture<?>> call, Class<?> expected) {
+      platform.control(fault);
+      boolean unanswered = fault.equals(UNANSWERED) || fault.equals(SLOW);
+      Object result = await(call.apply(unanswered ? hasty : client));
+      assertTrue(expected.isInstance(result), fault + " gave " + result);
+    }
+
+    /** Guards against a repeated write: the first one took effect, and reading back shows it. */
+    @Test
+    public void lostAnswerIsSettledByReadingBack() {
+      platform.control("{\"loseAnswers\":1}");
+      var result = await(client.compareAndSet("head", 0, bytes("write-17")));
+      assertTrue(result instanceof PlatformResult.OutcomeUnknown, result.toString());
+      assertEquals(done(client.get("head")).value(), bytes("write-17"));
+      assertEquals(platform.calls("put"), 1);
+    }
+
+    /** Guards against a caller that concludes from the deadline that a write did not happen. */
+    @Test
+    public void slowWriteTakesEffectAfterTheDeadline() {
+      platform.control("{\"slowMillis\":800}");
+      var result = await(hasty.compareAndSet("head", 0, bytes("late")));
+      assertTrue(result instanceof PlatformResult.OutcomeUnknown, result.toString());
+      platform.control("{\"slowMillis\":0}");
+      assertEquals(done(client.watch("head", 0, Duration.ofSeconds(20))).value(), bytes("late"));
+    }
+
+    /** Guards against a paused holder that renews a lease which lapsed and is held by another. */
+    @Test
+    public void lapsedLeaseCannotBeRenewed() {
+      Duration time = Duration.ofSeconds(30);
+      PlatformLease lease = done(client.acquireLease("readers/x/0", "a", time));
+      platform.control("{\"expireLeases\":true}");
+      assertTrue(await(client.renewLease(lease)) instanceof PlatformResult.Conflict);
+      done(client.acquireLease("readers/x/0", "b", time));
+      assertTrue(await(client.renewLease(lease)) instanceof PlatformResult.Conflict);
+    }
+
+    /** Guards against a dropped watch that hangs or hides the change that it missed. */
+    @Test
+    public void droppedWatchIsUnavailableAndCanBeRepeated() {
+      long known = done(client.compareAndSet("head", 0, bytes("1"))).revision();
+      var watch = client.watch("head", known, Duration.ofSeconds(20));
+      while (platform.control("{}").path("pendingWatches").asInt() == 0) {
+        Thread.onSpinWait();
+      }
+      platform.control("{\"dropWatches\":true}");
+      assertTrue(await(watch) instanceof PlatformResult.Unavailable);
+      long next = done(client.compareAndSet("head", known, bytes("2"))).revision();
+      assertEquals(done(client.watch("head", known, Duration.ofSeconds(20))).revision(), next);
+    }
+
+    /** Guards against a refused write that is counted as done or unknown. */
+    @Test
+    public void callOverTheRateLimitHasNoEffect() {
+      platform.control("{\"writesPerSecond\":1}");
+      PlatformResult<PlatformEntry> limited = null;
+      int done = 0;
+      while (limited == null) {
+        var result = await(client.compareAndSet("k" + done, 0, bytes("1")));
+        if (result instanceof PlatformResult.Done) {
+          done++;
+        } else {
+          limited = result;
+        }
+      }
+      assertTrue(limited instanceof PlatformResult.Unavailable, limited.toString());
+      assertTrue(limited.toString().contains(OVER_LIMIT), limited.toString());
+      platform.control("{\"writesPerSecond\":0}");
+      assertEquals(done(client.get("k" + done)).exists(), false);
+    }
+
+    /** Guards against a pending watch that does not count as one read of the limit. */
+    @Test
+    public void pendingWatchCountsAsOneRead() {
+      long known = done(client.compareAndSet("head", 0, bytes("1"))).revision();
+      var watch = client.watch("head", known, Duration.ofSeconds(20));
+      while (platform.control("{}").path("pendingWatches").asInt() == 0) {
+        Thread.onSpinWait();
+      }
+      platform.control(LIMITED);
+      PlatformResult<PlatformEntry> last = await(client.get("head"));
+      for (int i = 0; i < 5 && last instanceof PlatformResult.Done; i++) {
+        last = await(client.get("head"));
+      }
+      assertTrue(last instanceof PlatformResult.Unavailable, last.toString());
+      platform.control("{\"dropWatches\":true}");
+      assertTrue(await(watch) instanceof PlatformResult.Unavailable);
+    }
+  }
+
+  /** Budgets, back-off and endpoints. */
+  public static final class Limits extends WithStandIn {
+    /** Guards against operators who wait behind the process's own calls. */
+    @Test
+    public void interactiveCallsAreNotStarved() {
+      HttpPlatformClient small = client(PATIENT, new CallRate(2, 0.001));
+      done(small.get("k"));
+      done(small.get("k"));
+      assertTrue(await(small.get("k")) instanceof PlatformResult.Unavailable);
+      done(small.interactive().get("k"));
+      assertEquals(platform.calls("get"), 3);
+      small.close();
+    }
+
+    /** Guards against background calls that keep loading a platform that is down. */
+    @Test
+    public void backgroundCallsBackOffAfterAFailure() {
+      Duration hour = Duration.ofHours(1);
+      CallRate ample = new CallRate(1_000, 1_000);
+      PlatformSettings settings =
+          new PlatformSettings(
+              List.of(uri(platform.address())),
+              Duration.ofSeconds(2),
+              Duration.ofSeconds(2),
+              4,
+              ample,
+              ample,
+              ample,
+              hour,
+              hour);
+      var patient = new HttpPlatformClient(settings, group, System::nanoTime, new Random(1));
+      platform.control("{\"down\":\"unanswered\"}");
+      assertTrue(await(patient.get("k")) instanceof PlatformResult.Unavailable);
+      platform.control("{\"down\":\"none\"}");
+      assertTrue(await(patient.get("k")) instanceof PlatformResult.Unavailable);
+      assertEquals(platform.calls("get"), 0);
+      done(patient.interactive().get("k"));
+      done(patient.get("k"));
+      patient.close();
+    }
+
+    /** Guards against an outage of one address that stops the node. */
+    @Test
+    public void triesTheNextEndpointWhenNothingWasWritten() {
+      InetSocketAddress loopback = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+      try (PlatformStandIn other = PlatformStandIn.start(loopback)) {
+        List<URI> endpoints = List.of(uri(platform.address()), uri(other.address()));
+        PlatformSettings settings = settings(endpoints, PATIENT, new CallRate(1_000, 1_000));
+        var both = new HttpPlatformClient(settings, group, System::nanoTime, new Random(1));
+        platform.control("{\"down\":\"refused\"}");
+        assertEquals(done(both.compareAndSet("k", 0, bytes("1"))).value(), bytes("1"));
+        assertEquals(other.calls("put"), 1);
+        both.close();
+      }
+    }
+  }
+}
--- /dev/null
+++ b/product/src/test/java/io/foxtaildoor/process/platform/ReaderElectionTest.java
@@ -0,0 +1,212 @@
+package io.foxtaildoor.process.platform;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import io.foxtaildoor.common.DataCentreId;
+import io.foxtaildoor.common.NodeId;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests of {@link ReaderElection} in virtual time with a simulated lease service. */
+public class ReaderElectionTest {
+  private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
+  private static final long TICK = TimeUnit.MILLISECONDS.toNanos(50);
+  private static final ReaderSettings SETTINGS = ReaderSettings.defaults();
+  private static final DataCentreId DATA_CENTRE = new DataCentreId("oslo-a");
+
+  @DataProvider
+  Object[][] seeds() {
+    return new Object[][] {{1L}, {2L}, {3L}, {4L}, {5L}};
+  }
+
+  /** Guards against a data centre without readers, or with more than its two. */
+  @Test(dataProvider = "seeds")
+  public void twoNodesBecomeReaders(long seed) {
+    Fleet fleet = new Fleet(50, seed);
+    fleet.run(60 * SECOND);
+    assertEquals(fleet.readers().size(), 2);
+  }
+
+  /** Guards against platform calls that grow with the fleet. */
+  @Test(dataProvider = "seeds")
+  public void onlyTheCandidatesCall(long seed) {
+    Fleet fleet = new Fleet(200, seed);
+    fleet.run(60 * SECOND);
+    assertTrue(fleet.callers.size() <= SETTINGS.candidates(), fleet.callers.toString());
+    fleet.calls = 0;
+    fleet.run(100 * SECOND);
+    // 2 renewals each 3.3 s, and 2 other candidates that ask at most every 2.5 s, for 100 s.
+    assertTrue(fleet.calls <= 62 + 80, "calls " + fleet.calls);
+  }
+
+  /** Guards against nodes that all call in the same moment after a mass restart. */
+  @Test
+  public void startIsSpreadOverFiveSeconds() {
+    int early = 0;
+    for (int seed = 0; seed < 200; seed++) {
+      NodeId id = new NodeId("n");
+      var election = new ReaderElection(id, DATA_CENTRE, SETTINGS, 0, new Random(seed));
+      ReaderElection.Step step = election.next(0, List.of(id));
+      long wait = step instanceof ReaderElection.Step.Wait w ? w.nanos() : 0;
+      assertTrue(wait <= 5 * SECOND);
+      early += wait < 5 * SECOND / 2 ? 1 : 0;
+    }
+    assertTrue(early > 60 && early < 140, "starts in the first half: " + early);
+  }
+
+  /** Guards against a paused holder that acts, or renews, after its lease lapsed. */
+  @Test(dataProvider = "seeds")
+  public void pausedHolderStopsActing(long seed) {
+    Fleet fleet = new Fleet(20, seed);
+    fleet.run(60 * SECOND);
+    NodeId paused = fleet.readers().iterator().next();
+    fleet.paused.add(paused);
+    fleet.run(30 * SECOND);
+    assertFalse(fleet.elections.get(paused).isReader(fleet.now));
+    assertEquals(fleet.readers().size(), 2);
+    fleet.paused.clear();
+    fleet.run(60 * SECOND);
+    assertEquals(fleet.readers().size(), 2);
+  }
+
+  /** Guards against readers that act on lapsed leases while the platform is down. */
+  @Test(dataProvider = "seeds")
+  public void outageEndsAndRestoresReaders(long seed) {
+    Fleet fleet = new Fleet(20, seed);
+    fleet.run(60 * SECOND);
+    fleet.down = true;
+    fleet.run(12 * SECOND);
+    assertEquals(fleet.readers().size(), 0);
+    fleet.calls = 0;
+    fleet.run(100 * SECOND);
+    // With a back-off of 2.5 to 5 s, four candidates make at most 40 calls each.
+    assertTrue(fleet.calls <= 160, "calls " + fleet.calls);
+    fleet.down = false;
+    fleet.run(30 * SECOND);
+    assertEquals(fleet.readers().size(), 2);
+  }
+
+  /** Guards against a lost answer that locks the node out of the lease that it got. */
+  @Test
+  public void lostAnswerToAcquireIsRepeatedOnTheSameSlot() {
+    NodeId id = new NodeId("n");
+    var election = new ReaderElection(id, DATA_CENTRE, SETTINGS, 0, new Random(1));
+    long now = 5 * SECOND;
+    var first = (ReaderElection.Step.Acquire) election.next(now, List.of(id));
+    election.failed(now);
+    now += 5 * SECOND;
+    var second = (ReaderElection.Step.Acquire) election.next(now, List.of(id));
+    assertEquals(second.key(), first.key());
+    election.granted(new PlatformLease(second.key(), "n", 2, second.timeToLive()), now);
+    assertTrue(election.isReader(now + 8 * SECOND));
+    assertFalse(election.isReader(now + 9 * SECOND));
+  }
+
+  /** Nodes of one data centre and the platform's leases; answers take one tick to arrive. */
+  private static final class Fleet {
+    final Map<NodeId, ReaderElection> elections = new HashMap<>();
+    final Map<NodeId, ReaderElection.Step> open = new HashMap<>();
+    final Map<NodeId, Long> sent = new HashMap<>();
+    final Map<String, PlatformLease> leases = new HashMap<>();
+    final Map<String, Long> expiry = new HashMap<>();
+    final Set<NodeId> paused = new HashSet<>();
+    final Set<NodeId> callers = new HashSet<>();
+    final List<NodeId> nodes = new ArrayList<>();
+    boolean down;
+    long now;
+    int calls;
+    private long tokens;
+
+    Fleet(int size, long seed) {
+      for (int i = 0; i < size; i++) {
+        NodeId id = new NodeId("node-" + i);
+        nodes.add(id);
+        Random random = new Random(seed * 1_000 + i);
+        elections.put(id, new ReaderElection(id, DATA_CENTRE, SETTINGS, 0, random));
+      }
+    }
+
+    void run(long nanos) {
+      long end = now + nanos;
+      for (; now < end; now += TICK) {
+        for (NodeId id : nodes) {
+          if (!paused.contains(id)) {
+            step(id, elections.get(id));
+          }
+        }
+        checkActing();
+      }
+    }
+
+    private void step(NodeId id, ReaderElection election) {
+      ReaderElection.Step pending = open.remove(id);
+      if (pending != null) {
+        answer(id, election, pending);
+      }
+      ReaderElection.Step next = election.next(now, nodes);
+      if (!(next instanceof ReaderElection.Step.Wait)) {
+        calls++;
+        callers.add(id);
+        open.put(id, next);
+        sent.put(id, now);
+      }
+    }
+
+    private void answer(NodeId id, ReaderElection election, ReaderElection.Step step) {
+      if (down) {
+        election.failed(now);
+        return;
+      }
+      String key =
+          step instanceof ReaderElection.Step.Acquire acquire
+              ? acquire.key()
+              : ((ReaderElection.Step.Renew) step).lease().key();
+      PlatformLease present = expiry.getOrDefault(key, 0L) > now ? leases.get(key) : null;
+      PlatformLease granted = null;
+      if (step instanceof ReaderElection.Step.Renew renew) {
+        granted = renew.lease().equals(present) ? present : null;
+      } else if (present == null || present.holder().equals(id.value())) {
+        tokens++;
+        granted = new PlatformLease(key, id.value(), tokens, Duration.ofSeconds(10));
+      }
+      if (granted == null) {
+        election.refused(now);
+        return;
+      }
+      leases.put(key, granted);
+      expiry.put(key, now + 10 * SECOND);
+      election.granted(granted, sent.get(id));
+    }
+
+    /** Whoever takes itself for a reader holds the lease on the platform at this time. */
+    private void checkActing() {
+      for (NodeId id : readers()) {
+        PlatformLease lease = elections.get(id).lease().orElseThrow();
+        assertEquals(leases.get(lease.key()), lease);
+        assertTrue(expiry.get(lease.key()) > now, id + " acts on a lapsed lease");
+      }
+    }
+
+    Set<NodeId> readers() {
+      Set<NodeId> readers = new HashSet<>();
+      elections.forEach(
+          (id, election) -> {
+            if (election.isReader(now)) {
+              readers.add(id);
+            }
+          });
+      return readers;
+    }
+  }
+}
--- /dev/null
+++ b/product/src/test/java/io/foxtaildoor/version/distribution/ConfigurationDistributorTest.java
@@ -0,0 +1,258 @@
+package io.foxtaildoor.version.distribution;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import com.google.protobuf.ByteString;
+import io.foxtaildoor.protocol.ConfigurationUpdate;
+import io.foxtaildoor.protocol.Frame;
+import io.foxtaildoor.protocol.ManifestEntry;
+import io.foxtaildoor.protocol.PartBytes;
+import io.foxtaildoor.protocol.PartResponse;
+import io.foxtaildoor.version.manifest.ApplyResult;
+import io.foxtaildoor.version.manifest.VersionStamp;
+import java.util.List;
+import java.util.Random;
+import java.util.TreeSet;
+import org.testng.Reporter;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests of {@link ConfigurationDistributor} in simulated fleets. */
+public class ConfigurationDistributorTest {
+  private static final long SECOND = SimulatedFleet.SECOND;
+
+  /** Requirement 9 of the design page. */
+  private static final long IN_FORCE_LIMIT = 18 * SECOND;
+
+  /** 3 KB/s and node, and 14,000 changes a day. */
+  private static final long BYTES_PER_CHANGE_LIMIT = 3_000L * 86_400 / 14_000;
+
+  /**
+   * The page's number of rounds, which is the depth of a tree over 12,000 nodes. Notices go to
+   * random nodes, so a few nodes hear of a version only by a repeated notice or a probe, at the end
+   * of a longer chain: 99 of 100 nodes are held to the bound, and all nodes to the time limit.
+   */
+  private static final int ROUNDS_LIMIT = 7;
+
+  private ConfigurationDistributorTest() {}
+
+  @DataProvider
+  static Object[][] seeds() {
+    return new Object[][] {{1L}, {2L}, {3L}, {4L}};
+  }
+
+  private static void assertSound(SimulatedFleet fleet) {
+    assertEquals(fleet.breaches(), 0);
+    for (SimulatedFleet.Node node : fleet.nodes) {
+      assertEquals(node.versions, List.copyOf(new TreeSet<>(node.versions)));
+      var held = node.held();
+      assertEquals(held.parts().keySet().size(), held.manifest().entries().size());
+    }
+  }
+
+  private static Frame damageParts(Frame frame) {
+    if (!frame.hasConfigurationUpdate()) {
+      return frame;
+    }
+    ConfigurationUpdate.Builder update = frame.getConfigurationUpdate().toBuilder();
+    for (int i = 0; i < update.getPartsCount(); i++) {
+      byte[] content = update.getParts(i).getContent().toByteArray();
+      content[content.length / 2] ^= 1;
+      update.setParts(i, update.getParts(i).toBuilder().setContent(ByteString.copyFrom(content)));
+    }
+    return Frame.newBuilder().setConfigurationUpdate(update).build();
+  }
+
+  private static Frame damageManifest(Frame frame) {
+    if (!frame.hasConfigurationUpdate()) {
+      return frame;
+    }
+    ConfigurationUpdate.Builder update = frame.getConfigurationUpdate().toBuilder();
+    return Frame.newBuilder().setConfigurationUpdate(update.clearChanged()).build();
+  }
+
+  private static Frame withoutParts(Frame frame) {
+    if (frame.hasPartResponse()) {
+      return Frame.newBuilder().setPartResponse(PartResponse.getDefaultInstance()).build();
+    }
+    return frame.hasConfigurationUpdate()
+        ? Frame.newBuilder()
+            .setConfigurationUpdate(frame.getConfigurationUpdate().toBuilder().clearParts())
+            .build()
+        : frame;
+  }
+
+  /** A network without faults, against the bounds of the design page. */
+  public static final class Bounds {
+    /** Guards against a spread that needs more rounds or bytes than the page allows. */
+    @Test(dataProvider = "seeds", dataProviderClass = ConfigurationDistributorTest.class)
+    public void changeReachesAllWithinRoundsAndBytes(long seed) {
+      SimulatedFleet fleet = new SimulatedFleet(300, seed);
+      Versions versions = new Versions(40).change(0);
+      fleet.nodes.get(0).publish(versions);
+      assertTrue(fleet.timeToConverge(versions.manifest().stamp(), IN_FORCE_LIMIT) >= 0);
+      fleet.time.advance(2 * SECOND);
+      fleet.nodes.forEach(node -> node.bytes = 0);
+      fleet.nodes.get(1).publish(versions.change(1));
+      long taken = fleet.timeToConverge(versions.manifest().stamp(), IN_FORCE_LIMIT);
+      fleet.time.advance(2 * SECOND);
+      int rounds = fleet.nodes.stream().mapToInt(node -> node.rounds).max().orElseThrow();
+      long within = fleet.nodes.stream().filter(node -> node.rounds <= ROUNDS_LIMIT).count();
+      long most = fleet.nodes.stream().mapToLong(node -> node.bytes).max().orElseThrow();
+      double mean = fleet.nodes.stream().mapToLong(node -> node.bytes).average().orElseThrow();
+      Reporter.log(
+          "seed %d: %.3f s, %d rounds, bytes for a node: mean %.0f, most %d"
+              .formatted(seed, taken / (double) SECOND, rounds, mean, most),
+          true);
+      assertTrue(taken >= 0);
+      assertTrue(within * 100 >= fleet.nodes.size() * 99L, "nodes within the bound: " + within);
+      assertTrue(mean <= BYTES_PER_CHANGE_LIMIT, "mean bytes " + mean);
+      assertSound(fleet);
+    }
+  }
+
+  /** Networks and nodes with faults. */
+  public static final class Faults {
+    /**
+     * Guards against a version that goes back, is applied in part or is not reached by a node when
+     * notices and pulls are lost, duplicated, reordered and crossed.
+     */
+    @Test(dataProvider = "seeds", dataProviderClass = ConfigurationDistributorTest.class)
+    public void unreliableNetworkConverges(long seed) {
+      SimulatedFleet fleet = new SimulatedFleet(60, seed);
+      fleet.loss = 0.2;
+      fleet.duplicates = 0.3;
+      fleet.jitterNanos = 400 * SimulatedFleet.MILLI;
+      Random random = new Random(seed);
+      Versions versions = new Versions(15);
+      for (int i = 0; i < 25; i++) {
+        versions = i % 10 == 9 ? versions.remove(i / 10) : versions.change(5 + i % 10);
+        fleet.nodes.get(random.nextInt(60)).publish(versions);
+        fleet.time.advance(random.nextLong(SECOND));
+      }
+      assertTrue(fleet.timeToConverge(versions.manifest().stamp(), IN_FORCE_LIMIT) >= 0);
+      assertSound(fleet);
+    }
+
+    /** Guards against damaged data being applied, and against waiting for its source only. */
+    @Test(dataProvider = "seeds", dataProviderClass = ConfigurationDistributorTest.class)
+    public void corruptSourcesAreLeftForOthers(long seed) {
+      SimulatedFleet fleet = new SimulatedFleet(40, seed);
+      fleet.nodes.get(3).fault = ConfigurationDistributorTest::damageParts;
+      fleet.nodes.get(4).fault = ConfigurationDistributorTest::damageManifest;
+      fleet.nodes.get(5).fault = ConfigurationDistributorTest::withoutParts;
+      fleet.nodes.get(6).fault = frame -> Frame.getDefaultInstance();
+      Versions versions = new Versions(10).change(0);
+      fleet.nodes.get(0).publish(versions);
+      assertTrue(fleet.timeToConverge(versions.manifest().stamp(), IN_FORCE_LIMIT) >= 0);
+      fleet.nodes.get(3).publish(versions.change(1));
+      fleet.nodes.get(9).publish(versions);
+      assertTrue(fleet.timeToConverge(versions.manifest().stamp(), IN_FORCE_LIMIT) >= 0);
+      assertTrue(fleet.registry.counter("foxtaildoor.config.pulls.failed").count() > 0);
+      assertEquals(fleet.registry.counter("foxtaildoor.config.rejected").count(), 0.0);
+      assertSound(fleet);
+    }
+
+    /** Guards against a node that is too far behind for a difference and never catches up. */
+    @Test
+    public void laggingNodeGetsTheWholeManifest() {
+      SimulatedFleet fleet = new SimulatedFleet(10, 7);
+      Versions versions = new Versions(30).change(0);
+      fleet.nodes.get(0).publish(versions);
+      assertTrue(fleet.timeToConverge(versions.manifest().stamp(), IN_FORCE_LIMIT) >= 0);
+      SimulatedFleet.Node lagging = fleet.nodes.get(9);
+      lagging.isolated = true;
+      for (int i = 0; i < 80; i++) {
+        fleet.nodes.get(i % 9).publish(versions.change(i % 5));
+        fleet.time.advance(SECOND);
+      }
+      assertEquals(lagging.held().stamp().version(), 1);
+      lagging.isolated = false;
+      lagging.bytes = 0;
+      assertTrue(fleet.timeToConverge(versions.manifest().stamp(), IN_FORCE_LIMIT) >= 0);
+      int all = versions.parts().values().stream().mapToInt(part -> part.length).sum();
+      assertTrue(lagging.bytes < all, "only the changed parts are sent: " + lagging.bytes);
+      assertSound(fleet);
+    }
+
+    /** Guards against an invalid version in force, or pulled again and again from everyone. */
+    @Test
+    public void invalidVersionIsRejectedOnceAndTheNextOneApplied() {
+      SimulatedFleet fleet = new SimulatedFleet(20, 8);
+      Versions versions = new Versions(10).change(0);
+      fleet.nodes.get(0).publish(versions);
+      VersionStamp good = versions.manifest().stamp();
+      assertTrue(fleet.timeToConverge(good, IN_FORCE_LIMIT) >= 0);
+      SimulatedFleet.Node source = fleet.nodes.get(0);
+      versions.breakTeam(1);
+      var result = source.distributor.published(versions.manifest(), versions.parts());
+      assertTrue(result instanceof ApplyResult.Rejected, result.toString());
+      SimulatedFleet.Node node = fleet.nodes.get(2);
+      source.fault = frame -> wholeUpdate(versions, frame);
+      double before = fleet.registry.counter("foxtaildoor.config.pulls").count();
+      for (int i = 0; i < 50; i++) {
+        node.distributor.heard(source.address, versions.manifest().stamp());
+        fleet.time.advance(SECOND);
+      }
+      assertEquals(fleet.registry.counter("foxtaildoor.config.pulls").count() - before, 1.0);
+      assertEquals(node.held().stamp(), good);
+      assertEquals(node.holder.lastRejection().orElseThrow().offered().version(), 2);
+      source.fault = frame -> frame;
+      source.publish(versions.change(1));
+      assertTrue(fleet.timeToConverge(versions.manifest().stamp(), IN_FORCE_LIMIT) >= 0);
+      assertSound(fleet);
+    }
+
+    /** What a faulty source would send that took an invalid version into force. */
+    private static Frame wholeUpdate(Versions versions, Frame answer) {
+      var update = ConfigurationUpdate.newBuilder();
+      update.setTarget(versions.manifest().stamp().toMessage());
+      versions
+          .manifest()
+          .entries()
+          .forEach(
+              (team, digest) ->
+                  update.addChanged(
+                      ManifestEntry.newBuilder()
+                          .setTeam(team.value())
+                          .setDigest(ByteString.copyFrom(digest.bytes()))));
+      versions
+          .parts()
+          .forEach(
+              (digest, content) ->
+                  update.addParts(
+                      PartBytes.newBuilder()
+                          .setDigest(ByteString.copyFrom(digest.bytes()))
+                          .setContent(ByteString.copyFrom(content))));
+      return answer.hasConfigurationUpdate()
+          ? Frame.newBuilder().setConfigurationUpdate(update).build()
+          : answer;
+    }
+  }
+
+  /** Size of answers. */
+  public static final class Frames {
+    /** Guards against an answer that the link layer refuses, and a transfer that never ends. */
+    @Test
+    public void largeConfigurationIsSentInSeveralFrames() {
+      SimulatedFleet fleet = new SimulatedFleet(2, 9);
+      int[] largest = new int[1];
+      int[] frames = new int[1];
+      SimulatedFleet.Node source = fleet.nodes.get(0);
+      source.fault =
+          frame -> {
+            largest[0] = Math.max(largest[0], frame.getSerializedSize());
+            frames[0]++;
+            return frame;
+          };
+      Versions versions = new Versions(2_500).change(0);
+      source.publish(versions);
+      assertTrue(fleet.timeToConverge(versions.manifest().stamp(), IN_FORCE_LIMIT) >= 0);
+      Reporter.log("2500 teams: %d frames, largest %d".formatted(frames[0], largest[0]), true);
+      assertTrue(largest[0] <= 1 << 20, "largest frame " + largest[0]);
+      assertTrue(frames[0] > 2 && frames[0] < 12, "frames " + frames[0]);
+      assertSound(fleet);
+    }
+  }
+}
--- /dev/null
+++ b/product/src/test/java/io/foxtaildoor/version/distribution/PullPlannerTest.java
@@ -0,0 +1,104 @@
+package io.foxtaildoor.version.distribution;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotEquals;
+import static org.testng.Assert.assertTrue;
+
+import io.foxtaildoor.common.Digest;
+import io.foxtaildoor.version.manifest.VersionStamp;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests of {@link PullPlanner}. */
+public class PullPlannerTest {
+  private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
+  private static final VersionStamp HELD = stamp(5);
+
+  private PullPlanner planner;
+
+  @BeforeMethod
+  public void start() {
+    planner = new PullPlanner(DistributionSettings.defaults(), new Random(1));
+  }
+
+  private static VersionStamp stamp(long version) {
+    return new VersionStamp(version, Digest.of(new byte[] {(byte) version}));
+  }
+
+  private static InetSocketAddress node(int number) {
+    return new InetSocketAddress(InetAddress.getLoopbackAddress(), number);
+  }
+
+  private PullPlanner.Pull start(long now) {
+    return planner.next(now, HELD).orElseThrow();
+  }
+
+  /** Guards against many pulls of one version when many nodes announce it at once. */
+  @Test
+  public void pullsOneVersionOnceAtATime() {
+    for (int i = 1; i <= 20; i++) {
+      planner.heard(node(i), stamp(6));
+    }
+    assertTrue(planner.next(0, HELD).isPresent());
+    assertTrue(planner.next(0, HELD).isEmpty());
+    assertEquals(planner.nanosUntilNext(0, HELD), SECOND);
+    assertTrue(planner.next(SECOND, HELD).isPresent(), "a slow pull is hedged");
+    planner.heard(node(30), stamp(7));
+    assertTrue(planner.next(SECOND, HELD).isEmpty(), "at most two in all");
+  }
+
+  /** Guards against a slow source that holds up a newer version, and two pulls from one source. */
+  @Test
+  public void newerVersionIsPulledAtOnceFromAnotherSource() {
+    planner.heard(node(1), stamp(6));
+    assertEquals(planner.next(0, HELD).orElseThrow().source(), node(1));
+    planner.heard(node(1), stamp(7));
+    assertTrue(planner.next(0, HELD).isEmpty());
+    planner.heard(node(2), stamp(7));
+    planner.heard(node(3), stamp(6));
+    assertEquals(planner.next(0, HELD).orElseThrow().source(), node(2));
+  }
+
+  /** Guards against a loop over a source that fails, and one source that blocks the others. */
+  @Test
+  public void failedSourceIsLeftForAnother() {
+    planner.heard(node(1), stamp(9));
+    planner.failed(planner.next(0, HELD).orElseThrow(), 0);
+    assertTrue(planner.next(0, HELD).isEmpty());
+    long wait = planner.nanosUntilNext(0, HELD);
+    assertTrue(wait >= SECOND / 10 && wait <= SECOND / 5, "wait " + wait);
+    planner.heard(node(2), stamp(6));
+    assertEquals(planner.next(0, HELD).orElseThrow().source(), node(2));
+    assertEquals(planner.next(wait, HELD).orElseThrow().source(), node(1));
+  }
+
+  /** Guards against an invalid version being pulled from every node that announces it. */
+  @Test
+  public void rejectedVersionIsNotPulledAgainButANewerOneIs() {
+    planner.heard(node(1), stamp(6));
+    var pull = planner.next(0, HELD).orElseThrow();
+    planner.rejected(stamp(6));
+    planner.answered(pull, stamp(6), 0);
+    planner.heard(node(2), stamp(6));
+    assertTrue(planner.next(0, HELD).isEmpty());
+    assertEquals(planner.nanosUntilNext(0, HELD), Long.MAX_VALUE);
+    planner.heard(node(1), stamp(7));
+    assertTrue(planner.next(0, HELD).isPresent());
+  }
+
+  /** Guards against a source that never answers and occupies a pull for ever. */
+  @Test
+  public void unansweredPullTimesOut() {
+    planner.heard(node(1), stamp(6));
+    var pull = start(0);
+    assertTrue(planner.isInFlight(pull));
+    assertTrue(planner.next(10 * SECOND, HELD).isEmpty());
+    assertEquals(planner.isInFlight(pull), false);
+    planner.answered(pull, stamp(6), 11 * SECOND);
+    assertNotEquals(start(11 * SECOND), pull);
+  }
+}
--- /dev/null
+++ b/product/src/test/java/io/foxtaildoor/version/distribution/package-info.java
@@ -0,0 +1,2 @@
+/** Tests and measurements of the configuration distribution. */
+package io.foxtaildoor.version.distribution;
