Add open-loop load generator with reports and comparison

Cause: service by rank and convergence have to be measured under load, with latency counted from the intended send time. A finished stream no longer opens connections for requests that still wait (found by LoadRunnerTest).

--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/process/load/ConnectionPool.java
@@ -0,0 +1,229 @@
+package io.foxtaildoor.process.load;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequest;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * A bounded number of HTTP/1.1 connections to one address, each with at most one request at a time.
+ * Belongs to one event loop. Requests without a free connection wait in order.
+ */
+final class ConnectionPool {
+  private static final int MAX_ANSWER_BYTES = 1 << 20;
+  private static final int CONNECT_LIMIT_MILLIS = (int) Duration.ofSeconds(5).toMillis();
+
+  /** Receives what happens to requests. */
+  interface Listener {
+    /** Builds the message of a request that is about to be sent. */
+    HttpRequest message(LoadRequest request);
+
+    /** An answer arrived. */
+    void answered(LoadRequest request, StreamRecorder.Answer answer);
+
+    /** The request ended without an answer. */
+    void failed(LoadRequest request, Failure failure);
+  }
+
+  private final EventLoop loop;
+  private final InetSocketAddress address;
+  private final int limit;
+  private final Deque<LoadRequest> waiting = new ArrayDeque<>();
+  private final Deque<Channel> idle = new ArrayDeque<>();
+  private final Map<Channel, LoadRequest> busy = new HashMap<>();
+  private final Map<LoadRequest, Channel> channels = new HashMap<>();
+  private Listener listener;
+  private int open;
+  private int connecting;
+  private boolean closed;
+
+  ConnectionPool(EventLoop loop, InetSocketAddress address, int limit) {
+    this.loop = loop;
+    this.address = address;
+    this.limit = limit;
+  }
+
+  EventLoop loop() {
+    return loop;
+  }
+
+  InetSocketAddress address() {
+    return address;
+  }
+
+  void setListener(Listener changed) {
+    listener = changed;
+  }
+
+  /** Sends a request on a free connection, or as soon as there is one. */
+  void submit(LoadRequest request) {
+    Channel channel = idle.pollLast();
+    if (channel != null) {
+      send(channel, request);
+      return;
+    }
+    waiting.addLast(request);
+    if (open < limit && connecting < waiting.size()) {
+      connect();
+    }
+  }
+
+  /** Closes the connection on which a request waits for its answer. */
+  void abandon(LoadRequest request) {
+    Channel channel = channels.remove(request);
+    if (channel != null) {
+      busy.remove(channel);
+      close(channel);
+    }
+  }
+
+  /** Opens no more connections and forgets the requests that wait for one. */
+  void stop() {
+    closed = true;
+    waiting.clear();
+  }
+
+  /** Closes all connections. */
+  void close() {
+    stop();
+    for (Channel channel : busy.keySet().toArray(Channel[]::new)) {
+      close(channel);
+    }
+    for (Channel channel : idle.toArray(Channel[]::new)) {
+      close(channel);
+    }
+  }
+
+  /** A connection delivered the answer to its request. */
+  void onAnswer(Channel channel, StreamRecorder.Answer answer, boolean reusable) {
+    LoadRequest request = busy.remove(channel);
+    if (request == null) {
+      close(channel);
+      return;
+    }
+    channels.remove(request);
+    listener.answered(request, answer);
+    if (reusable) {
+      release(channel);
+    } else {
+      close(channel);
+    }
+  }
+
+  /** A connection failed or was closed. */
+  void onClosed(Channel channel, Failure failure) {
+    idle.remove(channel);
+    LoadRequest request = busy.remove(channel);
+    if (request != null) {
+      channels.remove(request);
+      listener.failed(request, failure);
+    }
+  }
+
+  private static void close(Channel channel) {
+    ChannelFuture unused = channel.close();
+  }
+
+  private void release(Channel channel) {
+    LoadRequest next = nextWaiting();
+    if (next != null) {
+      send(channel, next);
+    } else if (channel.isActive() && !closed) {
+      idle.addLast(channel);
+    } else {
+      close(channel);
+    }
+  }
+
+  private LoadRequest nextWaiting() {
+    LoadRequest next = waiting.pollFirst();
+    while (next != null && next.phase() == LoadRequest.Phase.DONE) {
+      next = waiting.pollFirst();
+    }
+    return next;
+  }
+
+  private void send(Channel channel, LoadRequest request) {
+    request.setPhase(LoadRequest.Phase.SENT);
+    busy.put(channel, request);
+    channels.put(request, channel);
+    ChannelFuture unused =
+        channel
+            .writeAndFlush(listener.message(request))
+            .addListener(
+                done -> {
+                  if (!done.isSuccess()) {
+                    onClosed(channel, Failure.CONNECTION_LOST);
+                    close(channel);
+                  }
+                });
+  }
+
+  private void connect() {
+    open++;
+    connecting++;
+    Bootstrap bootstrap =
+        new Bootstrap()
+            .group(loop)
+            .channel(NioSocketChannel.class)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_LIMIT_MILLIS)
+            .handler(new Initializer());
+    ChannelFuture connected = bootstrap.connect(address);
+    ChannelFuture unused = connected.addListener(done -> onConnected(connected));
+  }
+
+  private void onConnected(ChannelFuture connected) {
+    connecting--;
+    if (connected.isSuccess()) {
+      Channel channel = connected.channel();
+      ChannelFuture unused = channel.closeFuture().addListener(done -> onGone());
+      release(channel);
+      return;
+    }
+    open--;
+    // One failed connection fails one request, so that a dead target is not retried in a loop.
+    LoadRequest request = nextWaiting();
+    if (request != null) {
+      listener.failed(request, Failure.CONNECT_FAILED);
+    }
+    connectForWaiting();
+  }
+
+  private void onGone() {
+    open--;
+    connectForWaiting();
+  }
+
+  private void connectForWaiting() {
+    if (!closed && open < limit && connecting < waiting.size()) {
+      connect();
+    }
+  }
+
+  /** Sets up a connection. */
+  private final class Initializer extends ChannelInitializer<SocketChannel> {
+    @Override
+    protected void initChannel(SocketChannel channel) {
+      channel
+          .pipeline()
+          .addLast(
+              new HttpClientCodec(),
+              new HttpObjectAggregator(MAX_ANSWER_BYTES),
+              new AnswerHandler(ConnectionPool.this));
+    }
+  }
+}
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/process/load/LoadPlan.java
@@ -0,0 +1,55 @@
+package io.foxtaildoor.process.load;
+
+import io.foxtaildoor.common.ErrorKind;
+import io.foxtaildoor.common.FoxtaildoorException;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+/**
+ * What a load run does.
+ *
+ * @param warmUp time at the start whose requests are sent but not counted
+ * @param duration time after the warm-up whose requests are counted
+ * @param seed seed of the arrival times
+ * @param connectionsPerTarget limit for connections to one address, divided among its streams
+ * @param allowedAddresses IP addresses that are allowed besides those of the loopback interface
+ */
+public record LoadPlan(
+    Duration warmUp,
+    Duration duration,
+    long seed,
+    int connectionsPerTarget,
+    Set<String> allowedAddresses,
+    List<StreamPlan> streams) {
+  private static final Duration MAX_TIME = Duration.ofHours(1);
+  private static final int MAX_CONNECTIONS = 10_000;
+
+  /**
+   * Checks the plan.
+   *
+   * @throws FoxtaildoorException with {@link ErrorKind#INVALID_INPUT} when it is malformed
+   */
+  public LoadPlan {
+    warmUp = warmUp == null ? Duration.ZERO : warmUp;
+    allowedAddresses = allowedAddresses == null ? Set.of() : Set.copyOf(allowedAddresses);
+    require(streams != null && !streams.isEmpty(), "needs at least one stream");
+    streams = List.copyOf(streams);
+    require(duration != null && !duration.isNegative() && !duration.isZero(), "needs a duration");
+    require(!warmUp.isNegative(), "warmUp must not be negative");
+    require(warmUp.plus(duration).compareTo(MAX_TIME) <= 0, "must end within one hour");
+    require(connectionsPerTarget > 0, "connectionsPerTarget must be positive");
+    require(connectionsPerTarget <= MAX_CONNECTIONS, "connectionsPerTarget must be at most 10000");
+    Set<String> names = new HashSet<>();
+    for (StreamPlan stream : streams) {
+      require(names.add(stream.name()), "has two streams named " + stream.name());
+    }
+  }
+
+  private static void require(boolean holds, String message) {
+    if (!holds) {
+      throw new FoxtaildoorException(ErrorKind.INVALID_INPUT, "load plan " + message);
+    }
+  }
+}
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/process/load/LoadReport.java
@@ -0,0 +1,70 @@
+package io.foxtaildoor.process.load;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.ToDoubleFunction;
+
+/**
+ * The results of one or more repetitions, with those of a baseline if there is one.
+ *
+ * @param runs results of the candidate, one for each repetition
+ * @param baselines results of the baseline in the same order; empty without a baseline
+ * @param ratios medians of the ratios for the streams that both have; empty without a baseline
+ */
+public record LoadReport(
+    String title, List<LoadResult> runs, List<LoadResult> baselines, List<StreamRatio> ratios) {
+  /** Creates a report of runs without a baseline. */
+  public static LoadReport of(String title, List<LoadResult> runs) {
+    return new LoadReport(title, List.copyOf(runs), List.of(), List.of());
+  }
+
+  /** Creates a report of runs and as many baseline runs. */
+  public static LoadReport compare(
+      String title, List<LoadResult> runs, List<LoadResult> baselines) {
+    if (runs.isEmpty() || runs.size() != baselines.size()) {
+      throw new IllegalArgumentException("needs as many baseline runs as runs, at least one");
+    }
+    List<StreamRatio> ratios = new ArrayList<>();
+    for (StreamResult stream : runs.get(0).streams()) {
+      if (find(baselines.get(0), stream.name()) != null) {
+        ratios.add(
+            new StreamRatio(
+                stream.name(),
+                median(runs, baselines, stream.name(), result -> result.latency().p50Micros()),
+                median(runs, baselines, stream.name(), result -> result.latency().p99Micros()),
+                median(runs, baselines, stream.name(), StreamResult::inTimeShare)));
+      }
+    }
+    return new LoadReport(title, List.copyOf(runs), List.copyOf(baselines), List.copyOf(ratios));
+  }
+
+  private static double median(
+      List<LoadResult> runs,
+      List<LoadResult> baselines,
+      String name,
+      ToDoubleFunction<StreamResult> value) {
+    List<Double> ratios = new ArrayList<>();
+    for (int i = 0; i < runs.size(); i++) {
+      double baseline = value.applyAsDouble(find(baselines.get(i), name));
+      if (baseline != 0) {
+        ratios.add(value.applyAsDouble(find(runs.get(i), name)) / baseline);
+      }
+    }
+    if (ratios.isEmpty()) {
+      return Double.NaN;
+    }
+    ratios.sort(null);
+    int middle = ratios.size() / 2;
+    boolean odd = ratios.size() % 2 == 1;
+    return odd ? ratios.get(middle) : (ratios.get(middle - 1) + ratios.get(middle)) / 2;
+  }
+
+  private static StreamResult find(LoadResult result, String name) {
+    for (StreamResult stream : result.streams()) {
+      if (stream.name().equals(name)) {
+        return stream;
+      }
+    }
+    return null;
+  }
+}
--- a/product/src/main/java/io/foxtaildoor/process/membership/ExchangeSchedule.java
+++ b/product/src/main/java/io/foxtaildoor/process/membership/ExchangeSchedule.java
@@ -27,7 +27,10 @@
   /** Time after which a call without a result counts as failed. */
   private static final long CALL_LIMIT_NANOS = Duration.ofSeconds(15).toNanos();
 
-  /** An exchange that changed more records is followed by another one soon. */
+  /**
+   * An exchange that changed more records is followed by another one soon: after a mass restart the
+   * contacts themselves still learn, and after a partition the nodes still refute their death.
+   */
   private static final int MANY_CHANGES = 16;
 
   /** Wait before the exchange that follows one with many changes, doubled by jitter at most. */
@@ -200,8 +203,7 @@
 
   private void finish(long nowNanos) {
     running = false;
-    boolean many = joined && changes > MANY_CHANGES;
-    long wait = many ? FOLLOW_UP_NANOS : settings.exchangePeriod().toNanos();
+    long wait = changes > MANY_CHANGES ? FOLLOW_UP_NANOS : settings.exchangePeriod().toNanos();
     nextAt = nowNanos + wait / 2 + random.nextLong(wait);
     if (requestedPeer != null) {
       nextAt = nowNanos;
--- a/product/src/main/java/io/foxtaildoor/process/membership/GossipQueue.java
+++ b/product/src/main/java/io/foxtaildoor/process/membership/GossipQueue.java
@@ -30,6 +30,9 @@
     }
   }
 
+  /** Replaced updates that may wait unsent, as in a node that has nobody to send to. */
+  private static final int MAX_CANCELLED = 64;
+
   private final Map<NodeId, Entry> current = new HashMap<>();
   private final List<Deque<Entry>> bySendCount = new ArrayList<>();
 
@@ -40,7 +43,11 @@
     if (former != null) {
       former.cancelled = true;
     }
-    level(0).addLast(entry);
+    Deque<Entry> unsent = level(0);
+    unsent.addLast(entry);
+    if (unsent.size() > 2 * current.size() + MAX_CANCELLED) {
+      unsent.removeIf(queued -> queued.cancelled);
+    }
   }
 
   /** Drops the update of a node. */
--- /dev/null
+++ b/product/src/test/java/io/foxtaildoor/process/load/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the load generator. */
+package io.foxtaildoor.process.load;
