Add the HTTP/1.1 listener for callers

Cause: callers need an entry point that finds the route, sends the request on a link and returns exactly the answer that belongs to it. Change: CallerListener with strict request parsing, streaming bodies with flow control in both directions, deadlines, retries, keyed requests, problem documents, metrics and a graceful drain. Streams are used through LinkClient only; the tests answer them from a fake. Faults found by the tests before this commit: an answer in flight when a drain began lacked "Connection: close". No load was run against it.

--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/connection/caller/CallerConnection.java
@@ -0,0 +1,287 @@
+package io.foxtaildoor.connection.caller;
+
+import io.foxtaildoor.common.ErrorKind;
+import io.foxtaildoor.common.FoxtaildoorException;
+import io.foxtaildoor.common.Outcome;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.util.ArrayDeque;
+import java.util.HexFormat;
+import java.util.Queue;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * One connection of a caller: takes one request at a time, in order, and answers it before the next
+ * one is taken. All state belongs to the connection's event loop.
+ */
+final class CallerConnection extends ChannelInboundHandlerAdapter {
+  /** Decoded messages of later requests at which reading stops. */
+  private static final int MAX_QUEUED = 32;
+
+  /** Time for which input is dropped after the last answer, so that no reset overtakes it. */
+  private static final long LINGER_MILLIS = 1_000;
+
+  private static final System.Logger LOGGER = System.getLogger(CallerConnection.class.getName());
+
+  private final CallerSettings settings;
+  private final CallerDependencies dependencies;
+  private final CallerResponseEncoder encoder;
+  private final RequestTimeoutHandler timeouts;
+  private final Queue<HttpObject> queue = new ArrayDeque<>();
+  private Channel channel;
+  private Exchange exchange;
+  private boolean requestOpen;
+
+  /** Written on the event loop only; the end of a drain reads it on another thread. */
+  private volatile boolean answerOpen;
+
+  private boolean draining;
+  private boolean closing;
+
+  CallerConnection(
+      CallerSettings settings,
+      CallerDependencies dependencies,
+      CallerResponseEncoder encoder,
+      RequestTimeoutHandler timeouts) {
+    this.settings = settings;
+    this.dependencies = dependencies;
+    this.encoder = encoder;
+    this.timeouts = timeouts;
+  }
+
+  /** Whether an exchange is the one whose answer is due. */
+  boolean isCurrent(Exchange other) {
+    return exchange == other && answerOpen;
+  }
+
+  /** Whether a request is in progress; safe to call on any thread. */
+  boolean isAnswering() {
+    return answerOpen;
+  }
+
+  private boolean isIdle() {
+    return !requestOpen && !answerOpen && queue.isEmpty() && !timeouts.hasBegun();
+  }
+
+  @Override
+  public void channelActive(ChannelHandlerContext ctx) {
+    channel = ctx.channel();
+    timeouts.await();
+    ctx.fireChannelActive();
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext ctx) {
+    closing = true;
+    releaseQueue();
+    if (exchange != null) {
+      exchange.callerGone();
+    }
+    ctx.fireChannelInactive();
+  }
+
+  @Override
+  public void channelRead(ChannelHandlerContext ctx, Object message) {
+    if (closing) {
+      ReferenceCountUtil.release(message);
+      return;
+    }
+    queue.add((HttpObject) message);
+    takeQueued();
+  }
+
+  private void takeQueued() {
+    while (!closing && !queue.isEmpty() && (requestOpen || !answerOpen)) {
+      HttpObject message = queue.remove();
+      if (requestOpen) {
+        takeContent((HttpContent) message);
+      } else {
+        takeHead((HttpRequest) message);
+      }
+    }
+    updateReading();
+  }
+
+  /** Reads from the caller only while what arrives can be passed on or held. */
+  void updateReading() {
+    boolean blocked = exchange != null && exchange.isBlocked();
+    channel.config().setAutoRead(closing || (!blocked && queue.size() < MAX_QUEUED));
+  }
+
+  private void takeHead(HttpRequest request) {
+    long now = dependencies.nanoTime().getAsLong();
+    timeouts.arrived();
+    answerOpen = true;
+    // The decoder ends a message that it could not read by itself.
+    requestOpen = request.decoderResult().isSuccess();
+    boolean http10 = request.protocolVersion().equals(HttpVersion.HTTP_1_0);
+    boolean keepAlive = requestOpen && HttpUtil.isKeepAlive(request) && !draining;
+    boolean toHead = request.method().equals(HttpMethod.HEAD);
+    Answer answer = new Answer(channel, encoder, toHead, http10, keepAlive);
+    try {
+      if (!requestOpen) {
+        ReferenceCountUtil.release(request);
+        throw new FoxtaildoorException(
+            ErrorKind.INVALID_INPUT, "the request head is malformed or too large");
+      }
+      RequestHead head =
+          RequestHeadReader.read(request, dependencies.configuration().get(), newId(), now);
+      exchange =
+          new Exchange(
+              this, dependencies, channel.eventLoop(), head, answer, settings.replayBytes(), now);
+      exchange.begin();
+    } catch (FoxtaildoorException e) {
+      refuse(answer, e, requestOpen && RequestHeadReader.hasSmallBody(request));
+    }
+  }
+
+  private void refuse(Answer answer, FoxtaildoorException reason, boolean discardable) {
+    if (!discardable || reason.kind() == ErrorKind.INVALID_INPUT) {
+      answer.closeAfterwards();
+    }
+    dependencies.metrics().refused(reason.kind().headerValue());
+    answer
+        .writeError(
+            ProblemDocuments.of(reason.kind(), Outcome.NOT_RUN, reason.getMessage(), newId()))
+        .addListener(written -> answerFinished(null, answer.isKeepAlive()));
+  }
+
+  private void takeContent(HttpContent content) {
+    boolean last = content instanceof LastHttpContent;
+    requestOpen = !last;
+    if (exchange == null) {
+      content.release();
+    } else if (content.decoderResult().isFailure()) {
+      content.release();
+      exchange.malformedBody();
+    } else {
+      exchange.requestBody(content.content(), last);
+    }
+    if (content.decoderResult().isFailure() && !answerOpen) {
+      close();
+    } else if (!requestOpen && !answerOpen) {
+      awaitRequest();
+    }
+  }
+
+  /** Continues after the last byte of an answer was written. */
+  void answerFinished(Exchange finished, boolean keepAlive) {
+    if (closing || exchange != finished) {
+      return;
+    }
+    exchange = null;
+    answerOpen = false;
+    if (!keepAlive || draining) {
+      close();
+    } else if (requestOpen) {
+      timeouts.awaitRest();
+      takeQueued();
+    } else {
+      awaitRequest();
+      takeQueued();
+    }
+  }
+
+  private void awaitRequest() {
+    if (draining) {
+      close();
+    } else {
+      timeouts.await();
+    }
+  }
+
+  /** Announces the close with the next answer, or closes after a quiet time when idle. */
+  void beginDrain() {
+    draining = true;
+    if (exchange != null) {
+      exchange.closeAfterwards();
+    }
+
+    if (channel != null && isIdle()) {
+      ScheduledFuture<?> quiet =
+          channel
+              .eventLoop()
+              .schedule(this::closeIfIdle, settings.drainQuiet().toNanos(), TimeUnit.NANOSECONDS);
+      channel.closeFuture().addListener(closed -> quiet.cancel(false));
+    }
+  }
+
+  private void closeIfIdle() {
+    if (isIdle()) {
+      close();
+    }
+  }
+
+  /** Ends the output and drops the input until the caller closes, at most for a short time. */
+  private void close() {
+    if (closing) {
+      return;
+    }
+    closing = true;
+    timeouts.arrived();
+    releaseQueue();
+    updateReading();
+    ((SocketChannel) channel).shutdownOutput().addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+    ScheduledFuture<?> linger =
+        channel.eventLoop().schedule(this::closeChannel, LINGER_MILLIS, TimeUnit.MILLISECONDS);
+    channel.closeFuture().addListener(closed -> linger.cancel(false));
+  }
+
+  @Override
+  public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+    if (event == RequestTimeoutHandler.IDLE) {
+      close();
+    } else if (event == RequestTimeoutHandler.HEAD_TOO_SLOW) {
+      headTooSlow();
+    } else {
+      ctx.fireUserEventTriggered(event);
+    }
+  }
+
+  private void headTooSlow() {
+    if (requestOpen || answerOpen) {
+      // The answer was written already; only the rest of the request is missing.
+      close();
+      return;
+    }
+    answerOpen = true;
+    Answer answer = new Answer(channel, encoder, false, false, false);
+    refuse(
+        answer,
+        new FoxtaildoorException(
+            ErrorKind.INVALID_INPUT, "the request head did not arrive in time"),
+        false);
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+    LOGGER.log(System.Logger.Level.DEBUG, "connection of a caller failed", cause);
+    closeChannel();
+  }
+
+  private void closeChannel() {
+    channel.close().addListener(ChannelFutureListener.FIRE_EXCEPTION_ON_FAILURE);
+  }
+
+  private void releaseQueue() {
+    queue.forEach(ReferenceCountUtil::release);
+    queue.clear();
+  }
+
+  private String newId() {
+    return HexFormat.of().toHexDigits(dependencies.random().get().nextLong())
+        + HexFormat.of().toHexDigits(dependencies.random().get().nextLong());
+  }
+}
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/connection/caller/CallerHeaders.java
@@ -0,0 +1,80 @@
+package io.foxtaildoor.connection.caller;
+
+import io.foxtaildoor.common.ErrorKind;
+import io.foxtaildoor.common.FoxtaildoorException;
+import io.foxtaildoor.protocol.Header;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+
+/** Names of headers that the listener reads or sets, and those that end at each connection. */
+final class CallerHeaders {
+  /** All headers of the product start with it; none passes from caller to upstream or back. */
+  static final String PREFIX = "foxtaildoor-";
+
+  static final String CALLER = "foxtaildoor-caller";
+  static final String DEADLINE_MILLIS = "foxtaildoor-deadline-ms";
+  static final String DEPTH = "foxtaildoor-depth";
+  static final String ERROR = "foxtaildoor-error";
+  static final String OUTCOME = "foxtaildoor-outcome";
+  static final String REQUEST_ID = "foxtaildoor-request-id";
+  static final String IDEMPOTENCY_KEY = "idempotency-key";
+
+  private static final Set<String> HOP_BY_HOP =
+      Set.of(
+          "connection",
+          "expect",
+          "keep-alive",
+          "proxy-authenticate",
+          "proxy-authorization",
+          "proxy-connection",
+          "te",
+          "trailer",
+          "transfer-encoding",
+          "upgrade");
+
+  /** Removing one of these on a caller's wish would change what the request means. */
+  private static final Set<String> NOT_REMOVABLE =
+      Set.of("host", "content-length", IDEMPOTENCY_KEY);
+
+  private CallerHeaders() {}
+
+  /** Whether headers carry the id of another request than a given one. */
+  static boolean nameOtherRequest(List<Header> headers, String requestId) {
+    return headers.stream()
+        .anyMatch(
+            header ->
+                header.getName().equalsIgnoreCase(REQUEST_ID)
+                    && !header.getValue().equals(requestId));
+  }
+
+  /** Names, in lower case, of the headers of a message that are not passed on. */
+  static Set<String> removed(HttpHeaders headers) {
+    return removed(headers.getAll(HttpHeaderNames.CONNECTION));
+  }
+
+  /**
+   * Names, in lower case, of the headers that are not passed on.
+   *
+   * @param connection values of the Connection header
+   * @throws FoxtaildoorException with {@link ErrorKind#INVALID_INPUT} when it names a header that
+   *     must be passed on
+   */
+  static Set<String> removed(List<String> connection) {
+    Set<String> removed = new HashSet<>(HOP_BY_HOP);
+    for (String value : connection) {
+      for (String token : value.toLowerCase(Locale.ROOT).split(",", -1)) {
+        String name = token.strip();
+        if (NOT_REMOVABLE.contains(name) || name.startsWith(PREFIX)) {
+          throw new FoxtaildoorException(
+              ErrorKind.INVALID_INPUT, "the Connection header must not name " + name);
+        }
+        removed.add(name);
+      }
+    }
+    return removed;
+  }
+}
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/connection/caller/CallerListener.java
@@ -0,0 +1,162 @@
+package io.foxtaildoor.connection.caller;
+
+import io.foxtaildoor.process.invariant.Invariant;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.flush.FlushConsolidationHandler;
+import io.netty.util.concurrent.GlobalEventExecutor;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.lang.System.Logger.Level;
+import java.net.InetSocketAddress;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+/** HTTP/1.1 listener for callers. */
+public final class CallerListener implements AutoCloseable {
+  private static final int BACKLOG = 1_024;
+
+  /** Flushes that are joined while other events of the loop are handled. */
+  private static final int JOINED_FLUSHES = 64;
+
+  private static final System.Logger LOGGER = System.getLogger(CallerListener.class.getName());
+
+  private final CallerSettings settings;
+  private final CallerDependencies dependencies;
+  private final EventLoopGroup group;
+  private final ChannelGroup connections =
+      new DefaultChannelGroup(GlobalEventExecutor.INSTANCE, true);
+  private final CompletableFuture<Integer> drained = new CompletableFuture<>();
+  private volatile boolean draining;
+  private Channel server;
+
+  /** Creates a listener that is not started yet; the group stays owned by the caller. */
+  public CallerListener(
+      CallerSettings settings, CallerDependencies dependencies, EventLoopGroup group) {
+    this.settings = settings;
+    this.dependencies = dependencies;
+    this.group = group;
+  }
+
+  /**
+   * Binds the address; must not be called on an event loop.
+   *
+   * @return the bound address
+   */
+  public InetSocketAddress start() {
+    ServerBootstrap bootstrap =
+        new ServerBootstrap()
+            .group(group)
+            .channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_BACKLOG, BACKLOG)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(
+                new ChannelInitializer<SocketChannel>() {
+                  @Override
+                  protected void initChannel(SocketChannel channel) {
+                    initialize(channel);
+                  }
+                });
+    server = bootstrap.bind(settings.address()).syncUninterruptibly().channel();
+    return (InetSocketAddress) server.localAddress();
+  }
+
+  private void initialize(SocketChannel channel) {
+    if (draining || connections.size() >= settings.maxConnections()) {
+      dependencies.metrics().refusedConnection();
+      channel.close().addListener(ChannelFutureListener.FIRE_EXCEPTION_ON_FAILURE);
+      return;
+    }
+    CallerResponseEncoder encoder = new CallerResponseEncoder();
+    RequestTimeoutHandler timeouts =
+        new RequestTimeoutHandler(settings.headTimeout(), settings.idleTimeout());
+    CallerConnection connection = new CallerConnection(settings, dependencies, encoder, timeouts);
+    channel
+        .pipeline()
+        .addLast(new FlushConsolidationHandler(JOINED_FLUSHES, true))
+        .addLast(timeouts)
+        .addLast(new StrictRequestDecoder(settings))
+        .addLast(encoder)
+        .addLast(connection);
+    connections.add(channel);
+    channel.closeFuture().addListener(closed -> completeWhenEmpty());
+    if (draining) {
+      connection.beginDrain();
+    }
+  }
+
+  /**
+   * Begins a graceful stop: refuses new connections, answers what is in flight and announces the
+   * close with each answer.
+   *
+   * @return completes when no connection is left, or at the bound of the settings, with the number
+   *     of connections that were closed at the bound with a request in progress
+   */
+  public CompletableFuture<Integer> beginDrain() {
+    draining = true;
+    if (server != null) {
+      server.close().addListener(ChannelFutureListener.FIRE_EXCEPTION_ON_FAILURE);
+    }
+    for (Channel channel : connections) {
+      CallerConnection connection = channel.pipeline().get(CallerConnection.class);
+      if (connection != null) {
+        channel.eventLoop().execute(connection::beginDrain);
+      }
+    }
+    ScheduledFuture<?> bound =
+        group
+            .next()
+            .schedule(this::endDrain, settings.drainBound().toNanos(), TimeUnit.NANOSECONDS);
+    completeWhenEmpty();
+    return drained.whenComplete((cut, failure) -> bound.cancel(false));
+  }
+
+  private void completeWhenEmpty() {
+    if (draining && connections.isEmpty()) {
+      drained.complete(0);
+    }
+  }
+
+  private void endDrain() {
+    int cut = 0;
+    for (Channel channel : connections) {
+      CallerConnection connection = channel.pipeline().get(CallerConnection.class);
+      cut += connection != null && connection.isAnswering() ? 1 : 0;
+    }
+    int requests = cut;
+    dependencies
+        .invariants()
+        .check(
+            Invariant.STOP_CUTS_NOTHING,
+            requests == 0,
+            () -> requests + " connections with requests were closed at the drain bound");
+    if (drained.complete(requests)) {
+      connections
+          .close()
+          .addListener(closed -> LOGGER.log(Level.WARNING, "the drain reached its bound"));
+    }
+  }
+
+  /** Closes the listener and every connection at once. */
+  @Override
+  public void close() {
+    draining = true;
+    if (server != null) {
+      server.close().syncUninterruptibly();
+    }
+    connections.close().syncUninterruptibly();
+  }
+
+  /** Number of open connections. */
+  public int connections() {
+    return connections.size();
+  }
+}
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/connection/caller/CallerMetrics.java
@@ -0,0 +1,104 @@
+package io.foxtaildoor.connection.caller;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.Timer;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.LongAdder;
+
+/** Meters of the listener for callers; safe for use by several threads. */
+public final class CallerMetrics {
+  /** Result of a request that got a whole answer. */
+  static final String ANSWERED = "answered";
+
+  /** Result of a request whose answer broke after its head was written. */
+  static final String CUT = "cut";
+
+  /** Label of requests that were refused before a route was found. */
+  static final String NO_ROUTE = "none";
+
+  private final MeterRegistry registry;
+  private final Map<Labels, Counter> requests = new ConcurrentHashMap<>();
+  private final Timer added;
+  private final Counter retries;
+  private final Counter late;
+  private final Counter refusedConnections;
+  private final AtomicInteger inFlight = new AtomicInteger();
+  private final LongAdder answered = new LongAdder();
+  private final LongAdder failed = new LongAdder();
+
+  /** Registers the meters. */
+  public CallerMetrics(MeterRegistry registry) {
+    this.registry = registry;
+    added =
+        Timer.builder("foxtaildoor.caller.added")
+            .description("Time that this node itself adds to a request")
+            .publishPercentiles(0.5, 0.99)
+            .register(registry);
+    retries = registry.counter("foxtaildoor.caller.retries");
+    late = registry.counter("foxtaildoor.caller.late.answers");
+    refusedConnections = registry.counter("foxtaildoor.caller.refused.connections");
+    registry.gauge("foxtaildoor.caller.in.flight", inFlight);
+  }
+
+  /** Counts since the start of the process, for a status page. */
+  public CallerCounts counts() {
+    return new CallerCounts(
+        inFlight.get(),
+        answered.sum(),
+        failed.sum(),
+        (long) retries.count(),
+        (long) late.count(),
+        (long) refusedConnections.count());
+  }
+
+  void began() {
+    inFlight.incrementAndGet();
+  }
+
+  void ended(String service, String rank, String result) {
+    inFlight.decrementAndGet();
+    count(service, rank, result);
+  }
+
+  void refused(String result) {
+    count(NO_ROUTE, NO_ROUTE, result);
+  }
+
+  void retried() {
+    retries.increment();
+  }
+
+  void lateAnswer() {
+    late.increment();
+  }
+
+  void refusedConnection() {
+    refusedConnections.increment();
+  }
+
+  void added(long nanos) {
+    added.record(nanos, TimeUnit.NANOSECONDS);
+  }
+
+  private void count(String service, String rank, String result) {
+    (result.equals(ANSWERED) ? answered : failed).increment();
+    requests.computeIfAbsent(new Labels(service, rank, result), this::counter).increment();
+  }
+
+  private Counter counter(Labels labels) {
+    return registry.counter(
+        "foxtaildoor.caller.requests",
+        "service",
+        labels.service,
+        "rank",
+        labels.rank,
+        "result",
+        labels.result);
+  }
+
+  private record Labels(String service, String rank, String result) {}
+}
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/connection/caller/ProblemDocuments.java
@@ -0,0 +1,44 @@
+package io.foxtaildoor.connection.caller;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.foxtaildoor.common.ErrorKind;
+import io.foxtaildoor.common.Outcome;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import java.nio.charset.StandardCharsets;
+
+/** Error answers as RFC 9457 problem documents. */
+final class ProblemDocuments {
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+
+  private ProblemDocuments() {}
+
+  static FullHttpResponse of(ErrorKind kind, Outcome outcome, String detail, String requestId) {
+    ObjectNode document = MAPPER.createObjectNode();
+    document.put("type", "urn:foxtaildoor:error:" + kind.headerValue());
+    document.put("title", kind.name());
+    document.put("status", kind.status());
+    document.put("detail", detail);
+    document.put("outcome", outcome.headerValue());
+    document.put("requestId", requestId);
+    byte[] content = document.toString().getBytes(StandardCharsets.UTF_8);
+    FullHttpResponse response =
+        new DefaultFullHttpResponse(
+            HttpVersion.HTTP_1_1,
+            HttpResponseStatus.valueOf(kind.status()),
+            Unpooled.wrappedBuffer(content));
+    response
+        .headers()
+        .set(HttpHeaderNames.CONTENT_TYPE, "application/problem+json")
+        .set(HttpHeaderNames.CONTENT_LENGTH, content.length)
+        .set(CallerHeaders.ERROR, kind.headerValue())
+        .set(CallerHeaders.OUTCOME, outcome.headerValue())
+        .set(CallerHeaders.REQUEST_ID, requestId);
+    return response;
+  }
+}
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/connection/caller/RequestHead.java
@@ -0,0 +1,33 @@
+package io.foxtaildoor.connection.caller;
+
+import io.foxtaildoor.protocol.RequestStart;
+import io.foxtaildoor.version.routing.Route;
+
+/**
+ * A checked request head with its route.
+ *
+ * @param message what is sent to the other node, without remaining time and attempt
+ * @param deadlineNanos monotonic time of the deadline
+ * @param hasBody whether a body, possibly an empty chunked one, follows
+ * @param hasSmallBody whether a body of known, small length follows without waiting for a 100
+ * @param expectsContinue whether the caller waits for a 100 before it sends the body
+ */
+record RequestHead(
+    RequestStart message,
+    Route route,
+    long deadlineNanos,
+    boolean hasBody,
+    boolean hasSmallBody,
+    boolean expectsContinue) {
+  /** Largest rest of a body that is read only to keep the connection. */
+  static final int SMALL_BODY_BYTES = 64 * 1024;
+
+  String requestId() {
+    return message.getRequestId();
+  }
+
+  /** Whether the request is bound to one instance by its idempotency key. */
+  boolean isKeyed() {
+    return !route.idempotent() && !message.getIdempotencyKey().isEmpty();
+  }
+}
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/connection/caller/RequestTimeoutHandler.java
@@ -0,0 +1,88 @@
+package io.foxtaildoor.connection.caller;
+
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+
+/** Bounds the time between requests and the time from a request's first byte to its head. */
+final class RequestTimeoutHandler extends ChannelInboundHandlerAdapter {
+  /** Event that the handler fires when a request began and its head did not arrive in time. */
+  static final Object HEAD_TOO_SLOW = new Object();
+
+  /** Event that the handler fires when no request began in time. */
+  static final Object IDLE = new Object();
+
+  private final Duration headTimeout;
+  private final Duration idleTimeout;
+  private ChannelHandlerContext context;
+  private ScheduledFuture<?> timer;
+  private boolean waiting;
+  private boolean begun;
+
+  RequestTimeoutHandler(Duration headTimeout, Duration idleTimeout) {
+    this.headTimeout = headTimeout;
+    this.idleTimeout = idleTimeout;
+  }
+
+  @Override
+  public void handlerAdded(ChannelHandlerContext ctx) {
+    context = ctx;
+  }
+
+  @Override
+  public void handlerRemoved(ChannelHandlerContext ctx) {
+    cancel();
+  }
+
+  @Override
+  public void channelRead(ChannelHandlerContext ctx, Object message) {
+    if (waiting && !begun) {
+      begun = true;
+      schedule(headTimeout, HEAD_TOO_SLOW);
+    }
+    ctx.fireChannelRead(message);
+  }
+
+  /** Starts to wait for the next request. */
+  void await() {
+    waiting = true;
+    begun = false;
+    schedule(idleTimeout, IDLE);
+  }
+
+  /** Bounds the time in which the rest of a refused request is read. */
+  void awaitRest() {
+    waiting = true;
+    begun = true;
+    schedule(headTimeout, HEAD_TOO_SLOW);
+  }
+
+  /** Ends the wait. */
+  void arrived() {
+    waiting = false;
+    cancel();
+  }
+
+  /** Whether a part of a request has arrived. */
+  boolean hasBegun() {
+    return waiting && begun;
+  }
+
+  private void schedule(Duration time, Object event) {
+    cancel();
+    timer =
+        context
+            .executor()
+            .schedule(
+                () -> context.fireUserEventTriggered(event), time.toNanos(), TimeUnit.NANOSECONDS);
+  }
+
+  private void cancel() {
+    if (timer != null) {
+      timer.cancel(false);
+      timer = null;
+    }
+  }
+}
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/connection/caller/StrictRequestDecoder.java
@@ -0,0 +1,27 @@
+package io.foxtaildoor.connection.caller;
+
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpRequestDecoder;
+
+/** Request decoder that refuses a message with both Content-Length and Transfer-Encoding. */
+final class StrictRequestDecoder extends HttpRequestDecoder {
+  private static final int MAX_CHUNK_BYTES = 16 * 1024;
+
+  StrictRequestDecoder(CallerSettings settings) {
+    super(
+        new HttpDecoderConfig()
+            .setMaxInitialLineLength(settings.maxRequestLineBytes())
+            .setMaxHeaderSize(settings.maxHeaderBytes())
+            .setMaxChunkSize(MAX_CHUNK_BYTES)
+            .setAllowDuplicateContentLengths(false)
+            .setValidateHeaders(true)
+            .setStrictLineParsing(true)
+            .setUseRfc9112TransferEncoding(true));
+  }
+
+  @Override
+  protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
+    throw new IllegalArgumentException("both Content-Length and Transfer-Encoding");
+  }
+}
--- /dev/null
+++ b/product/src/test/java/io/foxtaildoor/connection/caller/CallerFixture.java
@@ -0,0 +1,183 @@
+package io.foxtaildoor.connection.caller;
+
+import com.google.protobuf.ByteString;
+import io.foxtaildoor.common.DataCentreId;
+import io.foxtaildoor.common.Digest;
+import io.foxtaildoor.common.NodeId;
+import io.foxtaildoor.common.RegionId;
+import io.foxtaildoor.common.ServiceId;
+import io.foxtaildoor.common.TeamId;
+import io.foxtaildoor.process.invariant.Invariants;
+import io.foxtaildoor.process.membership.FleetView;
+import io.foxtaildoor.process.membership.NodeRecord;
+import io.foxtaildoor.process.membership.NodeState;
+import io.foxtaildoor.process.membership.UpstreamAnnouncement;
+import io.foxtaildoor.protocol.RouteConfiguration;
+import io.foxtaildoor.protocol.ServiceConfiguration;
+import io.foxtaildoor.protocol.TeamConfiguration;
+import io.foxtaildoor.protocol.WireRank;
+import io.foxtaildoor.request.balance.BalanceSettings;
+import io.foxtaildoor.request.balance.UpstreamSelector;
+import io.foxtaildoor.request.idempotency.KeyedRequests;
+import io.foxtaildoor.request.retry.RetryBudgets;
+import io.foxtaildoor.request.retry.RetryPolicy;
+import io.foxtaildoor.request.retry.RetrySettings;
+import io.foxtaildoor.version.manifest.HeldConfiguration;
+import io.foxtaildoor.version.manifest.Manifest;
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Consumer;
+
+/** A started listener with two instances of a service behind links that the test controls. */
+final class CallerFixture implements AutoCloseable {
+  static final int MAX_BODY = 256 * 1024;
+  static final int SHORT_DEADLINE_MILLIS = 100;
+  private static final ServiceId SERVICE = new ServiceId("bookings");
+
+  final FakeLinks links = new FakeLinks();
+  final Invariants invariants = new Invariants((invariant, detail) -> {});
+  final CallerMetrics metrics = new CallerMetrics(new SimpleMeterRegistry());
+  final Fleet fleet = new Fleet();
+  final CallerListener listener;
+  final InetSocketAddress address;
+  volatile HeldConfiguration configuration = configuration();
+  private final EventLoopGroup group =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+
+  CallerFixture() {
+    this(Duration.ofSeconds(10), Duration.ofSeconds(30));
+  }
+
+  CallerFixture(Duration headTimeout, Duration drainBound) {
+    CallerSettings defaults = CallerSettings.defaults();
+    CallerSettings settings =
+        new CallerSettings(
+            defaults.address(),
+            defaults.maxConnections(),
+            defaults.maxRequestLineBytes(),
+            defaults.maxHeaderBytes(),
+            headTimeout,
+            defaults.idleTimeout(),
+            defaults.replayBytes(),
+            Duration.ofMillis(50),
+            drainBound);
+    listener = new CallerListener(settings, dependencies(), group);
+    address = listener.start();
+  }
+
+  CallerDependencies dependencies() {
+    SplittableRandom random = new SplittableRandom(3);
+    return new CallerDependencies(
+        () -> configuration,
+        fleet,
+        links,
+        new UpstreamSelector(
+            BalanceSettings.defaults(), new RegionId("oslo"), new DataCentreId("oslo-a")),
+        new RetryPolicy(RetrySettings.defaults()),
+        new RetryBudgets(RetrySettings.defaults()),
+        new KeyedRequests(1_000),
+        invariants,
+        metrics,
+        System::nanoTime,
+        () -> random);
+  }
+
+  RawCaller caller() throws IOException {
+    return new RawCaller(address);
+  }
+
+  @Override
+  public void close() {
+    listener.close();
+    group.shutdownGracefully(0, 1, java.util.concurrent.TimeUnit.SECONDS).syncUninterruptibly();
+  }
+
+  private static HeldConfiguration configuration() {
+    TeamConfiguration team =
+        TeamConfiguration.newBuilder()
+            .setTeam("bookings-team")
+            .setMember("pamoja")
+            .addServices(service("bookings", "*"))
+            .addServices(service("closed", "desk"))
+            .addRoutes(route("book", "bookings", false, 60_000))
+            .addRoutes(route("check", "bookings", true, 60_000))
+            .addRoutes(route("short", "bookings", true, SHORT_DEADLINE_MILLIS))
+            .addRoutes(route("closed", "closed", true, 60_000))
+            .build();
+    byte[] content = ByteString.copyFrom(team.toByteArray()).toByteArray();
+    TreeMap<TeamId, Digest> entries = new TreeMap<>();
+    entries.put(new TeamId("bookings-team"), Digest.of(content));
+    return HeldConfiguration.build(Manifest.of(1, entries), Map.of(Digest.of(content), content));
+  }
+
+  private static ServiceConfiguration service(String id, String caller) {
+    return ServiceConfiguration.newBuilder().setId(id).addCallers(caller).setSlots(9).build();
+  }
+
+  private static RouteConfiguration route(
+      String name, String service, boolean idempotent, int deadlineMillis) {
+    return RouteConfiguration.newBuilder()
+        .setName(name)
+        .setHost("h")
+        .setPath("/" + name)
+        .setPrefix(true)
+        .setService(service)
+        .setIdempotent(idempotent)
+        .setRank(WireRank.HIGH)
+        .setDeadlineMillis(deadlineMillis)
+        .setMaxBodyBytes(MAX_BODY)
+        .build();
+  }
+
+  static NodeRecord node(String id) {
+    return new NodeRecord(
+        new NodeId(id),
+        new InetSocketAddress(InetAddress.getLoopbackAddress(), 1),
+        new RegionId("oslo"),
+        new DataCentreId("oslo-a"),
+        1,
+        NodeState.ALIVE,
+        Optional.of(new UpstreamAnnouncement(SERVICE, 9, -3_600_000_000_000L)));
+  }
+
+  /** A fleet whose instances the test sets. */
+  static final class Fleet implements FleetView {
+    final List<NodeRecord> nodes =
+        new CopyOnWriteArrayList<>(List.of(CallerFixture.node("a"), CallerFixture.node("b")));
+
+    @Override
+    public NodeRecord self() {
+      return nodes.get(0);
+    }
+
+    @Override
+    public List<NodeRecord> nodes() {
+      return List.copyOf(nodes);
+    }
+
+    @Override
+    public Optional<NodeRecord> node(NodeId id) {
+      return nodes.stream().filter(node -> node.id().equals(id)).findFirst();
+    }
+
+    @Override
+    public List<NodeRecord> upstreams(ServiceId service) {
+      return service.equals(SERVICE) ? nodes() : List.of();
+    }
+
+    @Override
+    public void addListener(Consumer<NodeRecord> listener) {}
+  }
+}
--- /dev/null
+++ b/product/src/test/java/io/foxtaildoor/connection/caller/FakeLinks.java
@@ -0,0 +1,163 @@
+package io.foxtaildoor.connection.caller;
+
+import io.foxtaildoor.common.ErrorKind;
+import io.foxtaildoor.connection.link.LinkClient;
+import io.foxtaildoor.connection.link.RequestStream;
+import io.foxtaildoor.connection.link.ResponseListener;
+import io.foxtaildoor.process.membership.NodeRecord;
+import io.foxtaildoor.protocol.Header;
+import io.foxtaildoor.protocol.RequestStart;
+import io.foxtaildoor.protocol.ResponseStart;
+import io.foxtaildoor.protocol.StreamFailure;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
+
+/** Links whose streams are answered by the test. */
+final class FakeLinks implements LinkClient {
+  /** Only bounds how long a failing test hangs. */
+  static final int GUARD_SECONDS = 20;
+
+  final AtomicInteger opened = new AtomicInteger();
+  volatile boolean writable = true;
+  private final BlockingQueue<Stream> streams = new LinkedBlockingQueue<>();
+
+  @Override
+  public RequestStream open(NodeRecord target, RequestStart head, ResponseListener listener) {
+    Stream stream = new Stream(target, head, listener);
+    opened.incrementAndGet();
+    streams.add(stream);
+    return stream;
+  }
+
+  Stream next() throws InterruptedException {
+    Stream stream = streams.poll(GUARD_SECONDS, TimeUnit.SECONDS);
+    if (stream == null) {
+      throw new AssertionError("no stream was opened");
+    }
+    return stream;
+  }
+
+  @Override
+  public void close() {}
+
+  /** One opened stream. */
+  final class Stream implements RequestStream {
+    final NodeRecord target;
+    final RequestStart head;
+    final ResponseListener listener;
+    private int consumed;
+    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private final CountDownLatch ended = new CountDownLatch(1);
+    private final CountDownLatch cancelled = new CountDownLatch(1);
+
+    Stream(NodeRecord target, RequestStart head, ResponseListener listener) {
+      this.target = target;
+      this.head = head;
+      this.listener = listener;
+      if (head.getEnd()) {
+        ended.countDown();
+      }
+    }
+
+    @Override
+    public synchronized void send(ByteBuf data, boolean end) {
+      byte[] bytes = new byte[data.readableBytes()];
+      data.readBytes(bytes);
+      data.release();
+      body.writeBytes(bytes);
+      notifyAll();
+      if (end) {
+        ended.countDown();
+      }
+    }
+
+    @Override
+    public boolean isWritable() {
+      return writable;
+    }
+
+    @Override
+    public synchronized void consumed(int bytes) {
+      consumed += bytes;
+      notifyAll();
+    }
+
+    synchronized void awaitConsumed(int count) throws InterruptedException {
+      awaitTrue(() -> consumed >= count, "consumed bytes of the answer");
+    }
+
+    private void awaitTrue(BooleanSupplier condition, String what) throws InterruptedException {
+      long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(GUARD_SECONDS);
+      while (!condition.getAsBoolean()) {
+        long left = TimeUnit.NANOSECONDS.toMillis(end - System.nanoTime());
+        if (left <= 0) {
+          throw new AssertionError("missing: " + what);
+        }
+        wait(left);
+      }
+    }
+
+    @Override
+    public void cancel(String reason) {
+      cancelled.countDown();
+    }
+
+    /** Waits for the whole request body. */
+    byte[] wholeBody() throws InterruptedException {
+      await(ended, "the end of the request body");
+      return received();
+    }
+
+    synchronized byte[] received() {
+      return body.toByteArray();
+    }
+
+    synchronized void awaitBytes(int count) throws InterruptedException {
+      awaitTrue(() -> body.size() >= count, "bytes of the request body");
+    }
+
+    void awaitCancelled() throws InterruptedException {
+      await(cancelled, "the cancellation of the stream");
+    }
+
+    private void await(CountDownLatch latch, String what) throws InterruptedException {
+      if (!latch.await(GUARD_SECONDS, TimeUnit.SECONDS)) {
+        throw new AssertionError("missing: " + what);
+      }
+    }
+
+    void start(int status, boolean end, String... headers) {
+      ResponseStart.Builder start = ResponseStart.newBuilder().setStatus(status).setEnd(end);
+      for (int i = 0; i < headers.length; i += 2) {
+        start.addHeaders(Header.newBuilder().setName(headers[i]).setValue(headers[i + 1]));
+      }
+      listener.started(start.build());
+    }
+
+    void body(String data, boolean end) {
+      listener.body(Unpooled.copiedBuffer(data, StandardCharsets.UTF_8), end);
+    }
+
+    void answer(String data) {
+      start(200, false, "content-length", Integer.toString(data.length()));
+      body(data, true);
+    }
+
+    void fail(ErrorKind kind, boolean notRun) {
+      listener.failed(
+          StreamFailure.newBuilder()
+              .setKind(kind.name())
+              .setNotRun(notRun)
+              .setDetail("test")
+              .build());
+    }
+  }
+}
--- /dev/null
+++ b/product/src/test/java/io/foxtaildoor/connection/caller/RawCaller.java
@@ -0,0 +1,118 @@
+package io.foxtaildoor.connection.caller;
+
+import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.EOFException;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** Caller that writes bytes as they are and reads answers strictly. */
+final class RawCaller implements AutoCloseable {
+  private final Socket socket = new Socket();
+  private final InputStream in;
+
+  RawCaller(InetSocketAddress address) throws IOException {
+    socket.connect(address);
+    socket.setSoTimeout(FakeLinks.GUARD_SECONDS * 1_000);
+    in = new BufferedInputStream(socket.getInputStream());
+  }
+
+  RawCaller send(String text) throws IOException {
+    return send(text.getBytes(StandardCharsets.ISO_8859_1));
+  }
+
+  RawCaller send(byte[] bytes) throws IOException {
+    socket.getOutputStream().write(bytes);
+    socket.getOutputStream().flush();
+    return this;
+  }
+
+  /** Reads one whole answer; throws when it is cut. */
+  Reply read() throws IOException {
+    return read(false);
+  }
+
+  Reply read(boolean toHead) throws IOException {
+    String statusLine = line();
+    Map<String, String> headers = new TreeMap<>();
+    for (String line = line(); !line.isEmpty(); line = line()) {
+      int colon = line.indexOf(':');
+      headers.put(
+          line.substring(0, colon).toLowerCase(Locale.ROOT), line.substring(colon + 1).strip());
+    }
+    int status = Integer.parseInt(statusLine.split(" ", 3)[1]);
+    String body = "";
+    if (headers.containsKey("transfer-encoding")) {
+      body = chunked();
+    } else if (headers.containsKey("content-length") && !toHead) {
+      body = exactly(Integer.parseInt(headers.get("content-length")));
+    } else if (!toHead && status >= 200) {
+      body = new String(in.readAllBytes(), StandardCharsets.UTF_8);
+    }
+    return new Reply(status, headers, body);
+  }
+
+  private String chunked() throws IOException {
+    StringBuilder body = new StringBuilder();
+    for (int size = chunkSize(); size > 0; size = chunkSize()) {
+      body.append(exactly(size));
+      line();
+    }
+    line();
+    return body.toString();
+  }
+
+  private int chunkSize() throws IOException {
+    return Integer.parseInt(line(), 16);
+  }
+
+  private String exactly(int count) throws IOException {
+    byte[] bytes = in.readNBytes(count);
+    if (bytes.length < count) {
+      throw new EOFException("the answer is cut");
+    }
+    return new String(bytes, StandardCharsets.UTF_8);
+  }
+
+  private String line() throws IOException {
+    ByteArrayOutputStream line = new ByteArrayOutputStream();
+    for (int b = in.read(); b != '\n'; b = in.read()) {
+      if (b < 0) {
+        throw new EOFException("the answer is cut");
+      }
+      line.write(b);
+    }
+    return line.toString(StandardCharsets.ISO_8859_1).strip();
+  }
+
+  /** Whether the listener closed the connection without further bytes. */
+  boolean isClosedByPeer() throws IOException {
+    return in.read() < 0;
+  }
+
+  void disconnect() throws IOException {
+    socket.close();
+  }
+
+  @Override
+  public void close() throws IOException {
+    socket.close();
+  }
+
+  /** A whole answer. */
+  record Reply(int status, Map<String, String> headers, String body) {
+    String error() {
+      return headers.get("foxtaildoor-error");
+    }
+
+    String outcome() {
+      return headers.get("foxtaildoor-outcome");
+    }
+  }
+}
