Assemble the node: control plane, request path, operator listener, stop

Cause: the modules need one process that starts, connects and stops them. Change: Node, RequestPath, LocalUpstream, commands node, operator create, load and request. Conclusion: waits for the upstream side; not run yet.

--- a/product/src/main/java/io/foxtaildoor/process/cli/CommandLine.java
+++ b/product/src/main/java/io/foxtaildoor/process/cli/CommandLine.java
@@ -18,6 +18,7 @@
   private record Subcommand(String summary, Supplier<Command> factory) {}
 
   CommandLine() {
+    add("node", "run a node", NodeCommand::new);
     add("check", "check a settings file", CheckCommand::new);
     add("questionnaire check", "check a questionnaire", QuestionnaireCommands.Check::new);
     add("questionnaire submit", "submit a first questionnaire", QuestionnaireCommands.Submit::new);
@@ -29,6 +30,9 @@
     add("config approve", "approve a proposal that was reviewed", ConfigCommands.Approve::new);
     add("config status", "show the version that each node holds", ConfigCommands.Status::new);
     add("audit", "show the audit trail", AuditCommand::new);
+    add("operator create", "create an operator on the platform", OperatorCreateCommand::new);
+    add("load", "run a load test and report it", LoadCommand::new);
+    add("request", "send one request through a node", RequestCommand::new);
   }
 
   private void add(String words, String summary, Supplier<Command> factory) {
--- a/product/src/main/java/io/foxtaildoor/process/node/ControlPlane.java
+++ b/product/src/main/java/io/foxtaildoor/process/node/ControlPlane.java
@@ -30,9 +30,9 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Collection;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Supplier;
 import java.util.stream.Stream;
 
 /** Membership, configuration distribution and reading of the platform on one node. */
@@ -60,7 +60,7 @@
   ControlPlane(NodeContext context, InetSocketAddress peerAddress, LinkMetrics linkMetrics) {
     this.context = context;
     ModuleSettings modules = new ModuleSettings(context.settings());
-    identity = identity(context, this);
+    identity = identity(context, () -> this);
     caller =
         new NettyControlCaller(
             context.group(), LinkSettings.defaults(), identity, linkMetrics, context.clock());
@@ -117,11 +117,12 @@
     contacts = new ContactDirectory(platform, readerSettings.contacts());
   }
 
-  private static LinkIdentity identity(NodeContext context, ControlPlane controlPlane) {
+  /** How the node presents itself; the control plane may be created later than its links. */
+  static LinkIdentity identity(NodeContext context, Supplier<ControlPlane> control) {
     return new LinkIdentity(
         context.settings().get(CLUSTER),
         context.nodeId(),
-        () -> controlPlane.membership().self().incarnation());
+        () -> control.get().membership().self().incarnation());
   }
 
   private static NodeRecord self(NodeContext context, InetSocketAddress peerAddress) {
@@ -193,13 +194,15 @@
     context.scheduler().schedule(CONTACT_INTERVAL.toNanos(), this::refreshContacts);
   }
 
-  /** Handlers of control frames from other nodes. */
-  Map<Frame.BodyCase, ControlHandler> controlHandlers() {
+  /** Handlers of control frames; the control plane may be created after the listener is bound. */
+  static Map<Frame.BodyCase, ControlHandler> controlHandlers(Supplier<ControlPlane> control) {
+    ControlHandler distribution = frame -> control.get().distributor.handle(frame);
+    ControlHandler records = frame -> control.get().membership.handle(frame);
     return Map.of(
-        Frame.BodyCase.CONFIGURATION_PULL, distributor,
-        Frame.BodyCase.PART_REQUEST, distributor,
-        Frame.BodyCase.STATE_DIGEST, membership,
-        Frame.BodyCase.STATE_EXCHANGE, membership);
+        Frame.BodyCase.CONFIGURATION_PULL, distribution,
+        Frame.BodyCase.PART_REQUEST, distribution,
+        Frame.BodyCase.STATE_DIGEST, records,
+        Frame.BodyCase.STATE_EXCHANGE, records);
   }
 
   Membership membership() {
@@ -237,8 +240,4 @@
     caller.close();
     platform.close();
   }
-
-  List<NodeRecord> nodes() {
-    return membership.nodes();
-  }
 }
--- a/product/src/main/java/io/foxtaildoor/process/node/EventLoops.java
+++ b/product/src/main/java/io/foxtaildoor/process/node/EventLoops.java
@@ -10,13 +10,14 @@
 import java.util.random.RandomGenerator;
 
 /** Event loops, timers and random numbers of a process. */
-final class EventLoops {
+public final class EventLoops {
   private static final long QUIET_MILLIS = 0;
   private static final long STOP_LIMIT_MILLIS = 2_000;
 
   private EventLoops() {}
 
-  static EventLoopGroup create(int threads) {
+  /** Creates event loops on NIO. */
+  public static EventLoopGroup create(int threads) {
     return new MultiThreadIoEventLoopGroup(
         threads, new DefaultThreadFactory("loop"), NioIoHandler.newFactory());
   }
@@ -30,7 +31,8 @@
     return new java.util.Random(new SecureRandom().nextLong());
   }
 
-  static void stop(EventLoopGroup group) {
+  /** Stops event loops; blocks until their threads have ended. */
+  public static void stop(EventLoopGroup group) {
     group
         .shutdownGracefully(QUIET_MILLIS, STOP_LIMIT_MILLIS, TimeUnit.MILLISECONDS)
         .awaitUninterruptibly();
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/process/node/LocalUpstream.java
@@ -0,0 +1,92 @@
+package io.foxtaildoor.process.node;
+
+import io.foxtaildoor.common.ServiceId;
+import io.foxtaildoor.connection.upstream.UpstreamServer;
+import io.foxtaildoor.process.membership.Membership;
+import io.foxtaildoor.process.membership.UpstreamAnnouncement;
+import io.foxtaildoor.process.operator.UpstreamResource;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.function.LongSupplier;
+
+/** Takes announcements of the upstream on this host to membership and to the request path. */
+final class LocalUpstream implements UpstreamResource.Announcer {
+  private static final Logger LOGGER = System.getLogger(LocalUpstream.class.getName());
+
+  private final Membership membership;
+  private final UpstreamServer server;
+  private final Duration expiry;
+  private final LongSupplier clock;
+  private final Object lock = new Object();
+  private Instance instance;
+  private long renewedNanos;
+  private boolean stopping;
+
+  private record Instance(InetSocketAddress address, UpstreamAnnouncement announcement) {
+    boolean isSame(ServiceId service, InetSocketAddress other, int slots) {
+      return address.equals(other)
+          && announcement.service().equals(service)
+          && announcement.slots() == slots;
+    }
+  }
+
+  LocalUpstream(Membership membership, UpstreamServer server, Duration expiry, LongSupplier clock) {
+    this.membership = membership;
+    this.server = server;
+    this.expiry = expiry;
+    this.clock = clock;
+  }
+
+  @Override
+  public void announce(ServiceId service, InetSocketAddress address, int slots) {
+    long now = clock.getAsLong();
+    synchronized (lock) {
+      if (stopping) {
+        return;
+      }
+      renewedNanos = now;
+      if (instance == null || !instance.isSame(service, address, slots)) {
+        instance = new Instance(address, new UpstreamAnnouncement(service, slots, now));
+        server.attach(address, instance.announcement());
+        LOGGER.log(Level.INFO, "upstream {0} of service {1} announced itself", address, service);
+      }
+      membership.announceUpstream(
+          service, slots, Duration.ofNanos(now - instance.announcement().startedAtNanos()));
+    }
+  }
+
+  @Override
+  public void withdraw() {
+    synchronized (lock) {
+      if (instance != null) {
+        LOGGER.log(Level.INFO, "upstream {0} withdrew its announcement", instance.address());
+        end();
+      }
+    }
+  }
+
+  /** Ends an announcement that was not renewed in time. */
+  void expire(long nowNanos) {
+    synchronized (lock) {
+      if (instance != null && nowNanos - renewedNanos > expiry.toNanos()) {
+        LOGGER.log(Level.WARNING, "announcement of upstream {0} expired", instance.address());
+        end();
+      }
+    }
+  }
+
+  /** Takes no further announcement, since the node stops. */
+  void stop() {
+    synchronized (lock) {
+      stopping = true;
+    }
+  }
+
+  private void end() {
+    instance = null;
+    membership.withdrawUpstream();
+    var unused = server.beginDrain(clock.getAsLong());
+  }
+}
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/process/node/RequestPath.java
@@ -0,0 +1,147 @@
+package io.foxtaildoor.process.node;
+
+import static io.foxtaildoor.process.settings.NodeSettings.ADDRESS;
+import static io.foxtaildoor.process.settings.NodeSettings.CALLER_PORT;
+import static io.foxtaildoor.process.settings.NodeSettings.DATA_CENTRE;
+import static io.foxtaildoor.process.settings.NodeSettings.DRAIN_TIMEOUT;
+import static io.foxtaildoor.process.settings.NodeSettings.REGION;
+import static io.foxtaildoor.process.settings.NodeSettings.RETRY_BUDGET_PERCENT;
+
+import io.foxtaildoor.common.ServiceId;
+import io.foxtaildoor.connection.caller.CallerDependencies;
+import io.foxtaildoor.connection.caller.CallerListener;
+import io.foxtaildoor.connection.caller.CallerMetrics;
+import io.foxtaildoor.connection.caller.CallerSettings;
+import io.foxtaildoor.connection.link.LinkMetrics;
+import io.foxtaildoor.connection.link.LinkSettings;
+import io.foxtaildoor.connection.link.NettyLinkClient;
+import io.foxtaildoor.connection.upstream.UpstreamServer;
+import io.foxtaildoor.connection.upstream.UpstreamSettings;
+import io.foxtaildoor.process.settings.Settings;
+import io.foxtaildoor.request.balance.BalanceSettings;
+import io.foxtaildoor.request.balance.UpstreamSelector;
+import io.foxtaildoor.request.idempotency.KeyedRequests;
+import io.foxtaildoor.request.retry.RetryBudgets;
+import io.foxtaildoor.request.retry.RetryPolicy;
+import io.foxtaildoor.request.retry.RetrySettings;
+import io.foxtaildoor.version.manifest.HeldConfiguration;
+import java.net.InetSocketAddress;
+import java.util.concurrent.ThreadLocalRandom;
+
+/** The way of a request through one node: from callers to links and from links to the upstream. */
+final class RequestPath {
+  /** Keyed requests with an unknown outcome that the caller's side remembers. */
+  private static final int KEYED_REQUESTS = 20_000;
+
+  private final CallerListener callers;
+  private final UpstreamServer upstream;
+  private final NettyLinkClient links;
+  private final UpstreamSelector selector;
+  private final RetryBudgets budgets;
+
+  /** Creates the parts without starting them. */
+  RequestPath(NodeContext context, ControlPlane control, LinkMetrics linkMetrics) {
+    Settings settings = context.settings();
+    links =
+        new NettyLinkClient(
+            context.group(),
+            LinkSettings.defaults(),
+            control.identity(),
+            linkMetrics,
+            context.invariants(),
+            context.clock(),
+            context.random());
+    selector =
+        new UpstreamSelector(
+            BalanceSettings.defaults(), settings.get(REGION), settings.get(DATA_CENTRE));
+    RetrySettings retries = retrySettings(settings);
+    budgets = new RetryBudgets(retries);
+    callers =
+        new CallerListener(
+            callerSettings(settings),
+            new CallerDependencies(
+                control.holder()::current,
+                control.membership(),
+                links,
+                selector,
+                new RetryPolicy(retries),
+                budgets,
+                new KeyedRequests(KEYED_REQUESTS),
+                context.invariants(),
+                new CallerMetrics(context.registry()),
+                context.clock(),
+                ThreadLocalRandom::current),
+            context.group());
+    upstream =
+        new UpstreamServer(
+            context.group(),
+            upstreamSettings(settings),
+            service -> control.holder().current().routes().service(service),
+            context.invariants(),
+            context.registry(),
+            context.clock());
+    control.holder().addListener(this::forgetRemovedServices);
+  }
+
+  private static RetrySettings retrySettings(Settings settings) {
+    RetrySettings standard = RetrySettings.defaults();
+    return new RetrySettings(
+        standard.maxAttempts(),
+        standard.minRemaining(),
+        settings.get(RETRY_BUDGET_PERCENT) / 100.0,
+        standard.budgetFloor(),
+        standard.budgetWindow());
+  }
+
+  private static CallerSettings callerSettings(Settings settings) {
+    CallerSettings standard = CallerSettings.defaults();
+    return new CallerSettings(
+        new InetSocketAddress(settings.get(ADDRESS), settings.get(CALLER_PORT)),
+        standard.maxConnections(),
+        standard.maxRequestLineBytes(),
+        standard.maxHeaderBytes(),
+        standard.headTimeout(),
+        standard.idleTimeout(),
+        standard.replayBytes(),
+        standard.drainQuiet(),
+        settings.get(DRAIN_TIMEOUT));
+  }
+
+  private static UpstreamSettings upstreamSettings(Settings settings) {
+    UpstreamSettings standard = UpstreamSettings.defaults();
+    return new UpstreamSettings(
+        standard.connectTimeout(),
+        standard.progressTimeout(),
+        standard.continueTimeout(),
+        standard.idleTimeout(),
+        settings.get(DRAIN_TIMEOUT),
+        standard.maxRequestBytes(),
+        standard.maxAnswerBytes(),
+        standard.admission(),
+        standard.keys());
+  }
+
+  private void forgetRemovedServices(HeldConfiguration configuration) {
+    selector.retainServices(service -> isConfigured(configuration, service));
+    budgets.retainServices(service -> isConfigured(configuration, service));
+  }
+
+  private static boolean isConfigured(HeldConfiguration configuration, ServiceId service) {
+    return configuration.routes().service(service).isPresent();
+  }
+
+  CallerListener callers() {
+    return callers;
+  }
+
+  UpstreamServer upstream() {
+    return upstream;
+  }
+
+  /** Closes what is left of all connections. */
+  void close() {
+    callers.close();
+    links.close();
+    upstream.close();
+  }
+}
--- a/product/src/main/java/io/foxtaildoor/process/settings/NodeSettings.java
+++ b/product/src/main/java/io/foxtaildoor/process/settings/NodeSettings.java
@@ -112,13 +112,6 @@
       optional(
           "distribution.fanout", integer(1, 16), 4, "nodes that hear a notice of a new version");
 
-  public static final Setting<Duration> KEY_RETENTION =
-      optional(
-          "requests.keyRetention",
-          duration(Duration.ofSeconds(1), Duration.ofHours(24)),
-          Duration.ofMinutes(10),
-          "time for which an Idempotency-Key is remembered");
-
   public static final Setting<Integer> RETRY_BUDGET_PERCENT =
       optional(
           "requests.retryBudgetPercent",
@@ -162,7 +155,6 @@
           PROBE_INTERVAL,
           SUSPICION_TIMEOUT,
           FANOUT,
-          KEY_RETENTION,
           RETRY_BUDGET_PERCENT,
           ANNOUNCEMENT_EXPIRY,
           DRAIN_TIMEOUT,
