Add the upstream stand-in and bound stalled answers

Cause: process tests need upstreams that count what they ran and misbehave on demand; the listener for callers could hold a connection whose caller never reads an error answer, and counted a streamed answer as done at its head. Change: io.foxtaildoor.standins.upstream with slots, seeded service times, an execution record, faults over POST /standin/control, announcements and a graceful stop. CallerListener: error answers must be taken within 5 s, an instance stays loaded until the end of the answer, connections accepted during a drain are closed when quiet.

--- a/product/src/main/java/io/foxtaildoor/connection/caller/Answer.java
+++ b/product/src/main/java/io/foxtaildoor/connection/caller/Answer.java
@@ -20,15 +20,21 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.concurrent.ScheduledFuture;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.regex.Pattern;
 
 /** Writes the one answer to a request; on the event loop of the caller's connection only. */
 final class Answer {
   private static final Pattern LENGTH = Pattern.compile("[0-9]{1,18}");
+
+  /** Time after which a caller that does not read an error answer is disconnected. */
+  private static final int ERROR_WRITE_SECONDS = 5;
+
   private static final int MIN_STATUS = 200;
   private static final int MAX_STATUS = 599;
   private static final int NO_CONTENT = 204;
@@ -87,7 +93,13 @@
     started = true;
     encoder.nextAnswer(toHead);
     setConnection(response.headers());
-    return channel.writeAndFlush(response);
+    ChannelFuture written = channel.writeAndFlush(response);
+    if (!written.isDone()) {
+      ScheduledFuture<?> bound =
+          channel.eventLoop().schedule(this::abort, ERROR_WRITE_SECONDS, TimeUnit.SECONDS);
+      written.addListener(done -> bound.cancel(false));
+    }
+    return written;
   }
 
   /**
--- a/product/src/main/java/io/foxtaildoor/connection/caller/Attempt.java
+++ b/product/src/main/java/io/foxtaildoor/connection/caller/Attempt.java
@@ -4,6 +4,7 @@
 import io.foxtaildoor.connection.link.ResponseListener;
 import io.foxtaildoor.protocol.ResponseStart;
 import io.foxtaildoor.protocol.StreamFailure;
+import io.foxtaildoor.request.balance.AttemptResult;
 import io.foxtaildoor.request.balance.Selection;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.EventLoop;
@@ -20,6 +21,9 @@
   private final int number;
   private final long sentNanos;
   private RequestStream stream;
+  private AttemptResult result = AttemptResult.FAILED;
+  private long headNanos;
+  private boolean headArrived;
 
   Attempt(Exchange exchange, EventLoop loop, Selection selection, int number, long sentNanos) {
     this.exchange = exchange;
@@ -42,6 +46,23 @@
     return sentNanos;
   }
 
+  /** Records the arrival of the head of the answer and what its status says. */
+  void answering(AttemptResult status, long nowNanos) {
+    result = status;
+    headNanos = nowNanos;
+    headArrived = true;
+  }
+
+  /** What a whole answer says about the instance. */
+  AttemptResult result() {
+    return result;
+  }
+
+  /** Time from sending to the head of the answer, or until now when there is none. */
+  long latencyNanos(long nowNanos) {
+    return (headArrived ? headNanos : nowNanos) - sentNanos;
+  }
+
   RequestStream stream() {
     return stream;
   }
--- a/product/src/main/java/io/foxtaildoor/connection/caller/CallerConnection.java
+++ b/product/src/main/java/io/foxtaildoor/connection/caller/CallerConnection.java
@@ -17,6 +17,8 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.ScheduledFuture;
+import java.io.IOException;
+import java.lang.System.Logger.Level;
 import java.util.ArrayDeque;
 import java.util.HexFormat;
 import java.util.Queue;
@@ -79,6 +81,9 @@
   public void channelActive(ChannelHandlerContext ctx) {
     channel = ctx.channel();
     timeouts.await();
+    if (draining) {
+      closeWhenQuiet();
+    }
     ctx.fireChannelActive();
   }
 
@@ -155,7 +160,7 @@
     answer
         .writeError(
             ProblemDocuments.of(reason.kind(), Outcome.NOT_RUN, reason.getMessage(), newId()))
-        .addListener(written -> answerFinished(null, answer.isKeepAlive()));
+        .addListener(written -> answerFinished(null, written.isSuccess() && answer.isKeepAlive()));
   }
 
   private void takeContent(HttpContent content) {
@@ -209,7 +214,13 @@
       exchange.closeAfterwards();
     }
 
-    if (channel != null && isIdle()) {
+    if (channel != null) {
+      closeWhenQuiet();
+    }
+  }
+
+  private void closeWhenQuiet() {
+    if (isIdle()) {
       ScheduledFuture<?> quiet =
           channel
               .eventLoop()
@@ -267,7 +278,9 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-    LOGGER.log(System.Logger.Level.DEBUG, "connection of a caller failed", cause);
+    // A reset by the caller is ordinary; anything else is a fault of the product.
+    Level level = cause instanceof IOException ? Level.DEBUG : Level.WARNING;
+    LOGGER.log(level, "connection of a caller failed", cause);
     closeChannel();
   }
 
--- a/product/src/main/java/io/foxtaildoor/connection/caller/Exchange.java
+++ b/product/src/main/java/io/foxtaildoor/connection/caller/Exchange.java
@@ -93,7 +93,6 @@
             () -> "request " + head.requestId() + " is sent again after an unknown outcome");
     attempts++;
     Attempt attempt = new Attempt(this, loop, selection, attempts, now);
-    current = attempt;
     RequestStart start =
         RequestStart.newBuilder(head.message())
             .setAttempt(attempts)
@@ -102,6 +101,7 @@
             .setEnd(!body.isPresent())
             .build();
     attempt.opened(dependencies.links().open(selection.node(), start, attempt));
+    current = attempt;
     if (attempts == 1) {
       addedNanos = now() - receivedNanos;
     }
@@ -172,7 +172,7 @@
       attemptFailed(attempt, e.kind(), false, e.getMessage());
       return;
     }
-    finishSelection(attempt, FailureTable.result(start.getStatus()));
+    attempt.answering(FailureTable.result(start.getStatus()), arrived);
     if (start.getEnd()) {
       endAnswer();
     }
@@ -227,6 +227,8 @@
       return;
     }
     answerEnded = true;
+    finishSelection(current, current.result());
+
     if (!body.isEnded()) {
       closeUnlessDiscardable();
       current.stream().cancel("the answer ended before the request body");
@@ -237,8 +239,8 @@
             written -> {
               if (written.isSuccess()) {
                 finish(CallerMetrics.ANSWERED, Ending.ANSWERED);
-                connection.answerFinished(this, answer.isKeepAlive());
               }
+              connection.answerFinished(this, written.isSuccess() && answer.isKeepAlive());
             });
   }
 
@@ -346,7 +348,9 @@
     closeUnlessDiscardable();
     answer
         .writeError(ProblemDocuments.of(told, outcome, detail, head.requestId()))
-        .addListener(written -> connection.answerFinished(this, answer.isKeepAlive()));
+        .addListener(
+            written ->
+                connection.answerFinished(this, written.isSuccess() && answer.isKeepAlive()));
   }
 
   /** The rest of a small body is read and dropped, so that the connection can be kept. */
@@ -373,7 +377,7 @@
 
   private void finishSelection(Attempt attempt, AttemptResult result) {
     long now = now();
-    dependencies.selector().finish(attempt.selection(), result, now - attempt.sentNanos(), now);
+    dependencies.selector().finish(attempt.selection(), result, attempt.latencyNanos(now), now);
   }
 
   private void report(Attempt attempt, LoadReport load) {
--- /dev/null
+++ b/standins/src/main/java/io/foxtaildoor/standins/upstream/Announcer.java
@@ -0,0 +1,84 @@
+package io.foxtaildoor.standins.upstream;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import java.io.IOException;
+import java.lang.System.Logger.Level;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.time.Duration;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+/** Announces the stand-in to the node on its host and renews the announcement. */
+final class Announcer {
+  /** The announcement expires after 6 s at the node. */
+  private static final Duration PERIOD = Duration.ofSeconds(2);
+
+  private static final System.Logger LOGGER = System.getLogger(Announcer.class.getName());
+
+  private final URI uri;
+  private final String document;
+  private final HttpClient client = HttpClient.newBuilder().connectTimeout(PERIOD).build();
+  private final ScheduledExecutorService executor =
+      Executors.newSingleThreadScheduledExecutor(Announcer::thread);
+  private boolean withdrawn;
+
+  Announcer(String node, String service, String address, int slots) {
+    uri = URI.create("http://" + node + "/v1/upstream");
+    document =
+        JsonNodeFactory.instance
+            .objectNode()
+            .put("service", service)
+            .put("address", address)
+            .put("slots", slots)
+            .toString();
+  }
+
+  private static Thread thread(Runnable task) {
+    Thread thread = new Thread(task, "announcer");
+    thread.setDaemon(true);
+    return thread;
+  }
+
+  void start() {
+    var unused =
+        executor.scheduleAtFixedRate(this::announce, 0, PERIOD.toMillis(), TimeUnit.MILLISECONDS);
+  }
+
+  private synchronized void announce() {
+    if (!withdrawn) {
+      send("PUT");
+    }
+  }
+
+  /** Withdraws the announcement; later calls have no effect. */
+  synchronized void withdraw() {
+    if (!withdrawn) {
+      withdrawn = true;
+      executor.shutdown();
+      send("DELETE");
+    }
+  }
+
+  private void send(String method) {
+    HttpRequest request =
+        HttpRequest.newBuilder(uri)
+            .timeout(PERIOD)
+            .header("content-type", "application/json")
+            .method(method, HttpRequest.BodyPublishers.ofString(document))
+            .build();
+    try {
+      int status = client.send(request, BodyHandlers.discarding()).statusCode();
+      if (status >= 300) {
+        LOGGER.log(Level.WARNING, method + " of the announcement answered with " + status);
+      }
+    } catch (IOException e) {
+      LOGGER.log(Level.WARNING, method + " of the announcement failed: " + e.getMessage());
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/io/foxtaildoor/standins/upstream/ExecutionLog.java
@@ -0,0 +1,64 @@
+package io.foxtaildoor.standins.upstream;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.HashMap;
+import java.util.Map;
+
+/** Record of executed requests by id; used on the one event loop of the stand-in. */
+final class ExecutionLog {
+  private final Map<String, Integer> started = new HashMap<>();
+  private final Map<String, Integer> completed = new HashMap<>();
+  private long totalStarted;
+  private long totalCompleted;
+  private long duplicates;
+  private long shed;
+  private long cancelled;
+  private long expired;
+
+  void started(String id) {
+    totalStarted++;
+    if (!id.isEmpty() && started.merge(id, 1, Integer::sum) > 1) {
+      duplicates++;
+    }
+  }
+
+  void completed(String id) {
+    totalCompleted++;
+    if (!id.isEmpty()) {
+      completed.merge(id, 1, Integer::sum);
+    }
+  }
+
+  void shed() {
+    shed++;
+  }
+
+  void cancelled() {
+    cancelled++;
+  }
+
+  void expired() {
+    expired++;
+  }
+
+  ObjectNode of(String id) {
+    return JsonNodeFactory.instance
+        .objectNode()
+        .put("id", id)
+        .put("started", started.getOrDefault(id, 0))
+        .put("completed", completed.getOrDefault(id, 0));
+  }
+
+  /** Totals; a duplicate is each start of an id after its first. */
+  ObjectNode totals() {
+    return JsonNodeFactory.instance
+        .objectNode()
+        .put("started", totalStarted)
+        .put("completed", totalCompleted)
+        .put("duplicates", duplicates)
+        .put("shed", shed)
+        .put("cancelled", cancelled)
+        .put("expired", expired);
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/io/foxtaildoor/standins/upstream/Job.java
@@ -0,0 +1,76 @@
+package io.foxtaildoor.standins.upstream;
+
+import io.netty.util.concurrent.ScheduledFuture;
+
+/** One request in the queue or in a slot. */
+final class Job {
+
+  private final String id;
+  private final Behaviour behaviour;
+  private final long deadlineNanos;
+  private final Runnable answer;
+  private final Runnable expire;
+  private Runnable onEnd;
+  private ScheduledFuture<?> timer;
+  private boolean cancelled;
+  private boolean answered;
+
+  Job(String id, Behaviour behaviour, long deadlineNanos, Runnable answer, Runnable expire) {
+    this.id = id;
+    this.behaviour = behaviour;
+    this.deadlineNanos = deadlineNanos;
+    this.answer = answer;
+    this.expire = expire;
+  }
+
+  String id() {
+    return id;
+  }
+
+  Behaviour behaviour() {
+    return behaviour;
+  }
+
+  boolean isExpired(long nowNanos) {
+    return nowNanos - deadlineNanos >= 0;
+  }
+
+  void onEnd(Runnable action) {
+    onEnd = action;
+  }
+
+  void timer(ScheduledFuture<?> started) {
+    timer = started;
+  }
+
+  void answer() {
+    answered = true;
+    answer.run();
+  }
+
+  void expire() {
+    answered = true;
+    expire.run();
+  }
+
+  /** Marks the job as cancelled; false when it was answered or cancelled before. */
+  boolean cancel() {
+    if (answered || cancelled) {
+      return false;
+    }
+    cancelled = true;
+    if (timer != null) {
+      timer.cancel(false);
+    }
+    return true;
+  }
+
+  /** Frees the slot, once. */
+  void end() {
+    if (onEnd != null) {
+      Runnable action = onEnd;
+      onEnd = null;
+      action.run();
+    }
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/io/foxtaildoor/standins/upstream/UpstreamStandIn.java
@@ -0,0 +1,139 @@
+package io.foxtaildoor.standins.upstream;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpServerCodec;
+import java.io.File;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.kohsuke.args4j.CmdLineException;
+import org.kohsuke.args4j.CmdLineParser;
+
+/** Stand-in of an upstream instance. */
+public final class UpstreamStandIn implements AutoCloseable {
+  private static final int MAX_BODY_BYTES = 4 * 1024 * 1024;
+  private static final long STOP_BOUND_MILLIS = 10_000;
+  private static final long STOP_POLL_MILLIS = 10;
+  private static final int STOP_QUIET_POLLS = 20;
+  private static final int BAD_USAGE = 2;
+
+  private final StandInOptions options;
+  private final EventLoopGroup group =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final EventLoop loop = group.next();
+  private final SlotServer server;
+  private Announcer announcer;
+  private Channel channel;
+
+  UpstreamStandIn(StandInOptions options) {
+    this.options = options;
+    this.server = new SlotServer(options, loop);
+  }
+
+  /** Runs the stand-in until SIGTERM, which stops it gracefully. */
+  public static void main(String[] args) throws IOException {
+    StandInOptions options = new StandInOptions();
+    CmdLineParser parser = new CmdLineParser(options);
+    try {
+      parser.parseArgument(args);
+    } catch (CmdLineException e) {
+      System.err.println(e.getMessage());
+      parser.printUsage(System.err);
+      System.exit(BAD_USAGE);
+    }
+    UpstreamStandIn standIn = new UpstreamStandIn(options);
+    InetSocketAddress address = standIn.start();
+    Runtime.getRuntime().addShutdownHook(new Thread(standIn::close, "stop"));
+    System.out.println("listening on " + address.getHostString() + ":" + address.getPort());
+  }
+
+  /** Binds the address, writes the port file and begins to announce. */
+  InetSocketAddress start() throws IOException {
+    ServerBootstrap bootstrap =
+        new ServerBootstrap()
+            .group(group)
+            .channel(NioServerSocketChannel.class)
+            .childHandler(
+                new ChannelInitializer<SocketChannel>() {
+                  @Override
+                  protected void initChannel(SocketChannel child) {
+                    child
+                        .pipeline()
+                        .addLast(new HttpServerCodec())
+                        .addLast(new HttpObjectAggregator(MAX_BODY_BYTES))
+                        .addLast(new UpstreamHandler(server, UpstreamStandIn.this::drain));
+                  }
+                });
+    channel = bootstrap.bind(options.address, options.port).syncUninterruptibly().channel();
+    InetSocketAddress bound = (InetSocketAddress) channel.localAddress();
+    if (options.portFile != null) {
+      writePort(options.portFile, bound.getPort());
+    }
+    if (options.announce != null) {
+      String address = options.address + ":" + bound.getPort();
+      announcer = new Announcer(options.announce, options.service, address, options.slots);
+      announcer.start();
+    }
+    return bound;
+  }
+
+  /** Writes the file under another name first, so that a reader never sees a part of it. */
+  private static void writePort(File file, int port) throws IOException {
+    Path path = file.toPath().toAbsolutePath();
+    Path temporary = path.resolveSibling(path.getFileName() + ".tmp");
+    Files.writeString(temporary, Integer.toString(port));
+    Files.move(
+        temporary, path, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+  }
+
+  private void drain() {
+    server.drain();
+    if (announcer != null) {
+      new Thread(announcer::withdraw, "withdraw").start();
+    }
+  }
+
+  /** Withdraws, finishes what is in flight and stops. */
+  @Override
+  public void close() {
+    if (announcer != null) {
+      announcer.withdraw();
+    }
+    awaitQuiet();
+    loop.execute(server::drain);
+    channel.close().syncUninterruptibly();
+    group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+  }
+
+  /** Still serves what the node had dispatched before it heard of the withdrawal. */
+  private void awaitQuiet() {
+    long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(STOP_BOUND_MILLIS);
+    int quietPolls = 0;
+    while (quietPolls < STOP_QUIET_POLLS && System.nanoTime() - end < 0) {
+      quietPolls = inFlight() == 0 ? quietPolls + 1 : 0;
+      try {
+        Thread.sleep(STOP_POLL_MILLIS);
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+        return;
+      }
+    }
+  }
+
+  private int inFlight() {
+    return CompletableFuture.supplyAsync(server::inFlight, loop).join();
+  }
+}
--- /dev/null
+++ b/standins/src/test/java/io/foxtaildoor/standins/upstream/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the upstream stand-in. */
+package io.foxtaildoor.standins.upstream;
