Measure recovery from partitions and mass restarts

Cause: the time to converge after these failures was not known. Change: a measurement over five seeds with 100 nodes in the fake network.

--- a/product/src/test/java/io/foxtaildoor/process/membership/MembershipMeasurements.java
+++ b/product/src/test/java/io/foxtaildoor/process/membership/MembershipMeasurements.java
@@ -120,6 +120,33 @@
     }
   }
 
+  /** Time to converge, and deaths declared meanwhile, after a partition and a mass restart. */
+  @Test
+  public void recovery() {
+    for (long seed = 1; seed <= 5; seed++) {
+      FakeNetwork network = new FakeNetwork(SETTINGS, seed);
+      List<Node> fleet = network.startFleet(100);
+      network.runUntil(Duration.ofMinutes(9), network::converged);
+      network.blocked =
+          (from, to) -> (from.getAddress().hashCode() + to.getAddress().hashCode()) % 2 != 0;
+      network.run(Duration.ofMinutes(3));
+      fleet.forEach(node -> node.changes.clear());
+      network.blocked = (from, to) -> false;
+      Duration healed = network.runUntil(Duration.ofMinutes(9), network::converged);
+      int dead = 0;
+      for (Node node : fleet) {
+        dead += node.changes.getOrDefault(NodeState.DEAD, 0);
+      }
+      for (int host = 0; host < 100; host += 2) {
+        network.start(host, 200);
+      }
+      Duration restarted = network.runUntil(Duration.ofMinutes(9), network::converged);
+      print(
+          "recovery seed=%d healed=%d ms deaths=%d half restarted=%d ms",
+          seed, healed.toMillis(), dead, restarted.toMillis());
+    }
+  }
+
   /** Heap of the table and the index with 12,000 records. */
   @Test
   public void heap() {
