Share process handling of the stand-ins; end them with exit code 0

Both stand-ins had their own copy of options, port file and hook. Change: StandInProcess; halting with 0 after the stop.

--- a/product/src/main/java/io/foxtaildoor/process/cli/LoadCommand.java
+++ b/product/src/main/java/io/foxtaildoor/process/cli/LoadCommand.java
@@ -76,8 +76,7 @@
   }
 
   private static LoadPlan read(String file) {
-    return LoadPlanReader.read(
-        new String(OperatorCommand.readFile(file), StandardCharsets.UTF_8));
+    return LoadPlanReader.read(new String(OperatorCommand.readFile(file), StandardCharsets.UTF_8));
   }
 
   private static void write(String file, ReportFormat format, LoadReport report) {
--- a/product/src/main/java/io/foxtaildoor/process/node/Node.java
+++ b/product/src/main/java/io/foxtaildoor/process/node/Node.java
@@ -41,7 +41,9 @@
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 
-/** One node process: proxy of its host's callers and upstream, and its part of the control plane. */
+/**
+ * One node process: proxy of its host's callers and upstream, and its part of the control plane.
+ */
 public final class Node {
   private static final Logger LOGGER = System.getLogger(Node.class.getName());
 
@@ -121,9 +123,7 @@
             (head, response) -> requests.upstream().accept(head, response),
             ControlPlane.controlHandlers(() -> control));
     InetSocketAddress address =
-        peers
-            .start(new InetSocketAddress(settings.get(ADDRESS), settings.get(PEER_PORT)))
-            .join();
+        peers.start(new InetSocketAddress(settings.get(ADDRESS), settings.get(PEER_PORT))).join();
     control = new ControlPlane(context, address, linkMetrics);
     requests = new RequestPath(context, control, linkMetrics);
     localUpstream =
--- a/standins/src/main/java/io/foxtaildoor/standins/platform/PlatformStandIn.java
+++ b/standins/src/main/java/io/foxtaildoor/standins/platform/PlatformStandIn.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import io.foxtaildoor.standins.StandInProcess;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -19,13 +20,9 @@
 import io.netty.util.concurrent.Promise;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import org.kohsuke.args4j.CmdLineException;
-import org.kohsuke.args4j.CmdLineParser;
 import org.kohsuke.args4j.Option;
 
 /**
@@ -195,37 +192,23 @@
     private Path portFile;
 
     private void writePorts(PlatformStandIn standIn) throws IOException {
-      if (portFile == null) {
-        return;
-      }
       String ports = standIn.address().getPort() + "\n";
       if (standIn.controlPort() != 0) {
         ports += standIn.controlPort() + "\n";
       }
-      // A reader of the file never sees it half written.
-      Path draft = portFile.resolveSibling(portFile.getFileName() + ".tmp");
-      Files.writeString(draft, ports);
-      Files.move(draft, portFile, StandardCopyOption.ATOMIC_MOVE);
+      StandInProcess.writePortFile(portFile, ports);
     }
   }
 
   /** Runs a stand-in until SIGTERM. */
   public static void main(String[] args) throws IOException {
-    Options options = new Options();
-    CmdLineParser parser = new CmdLineParser(options);
-    try {
-      parser.parseArgument(args);
-    } catch (CmdLineException e) {
-      System.err.println(e.getMessage());
-      parser.printUsage(System.err);
-      System.exit(2);
-    }
+    Options options = StandInProcess.parse(new Options(), args);
     InetSocketAddress control =
         options.controlPort < 0
             ? null
             : new InetSocketAddress(options.address, options.controlPort);
     PlatformStandIn standIn = start(new InetSocketAddress(options.address, options.port), control);
-    Runtime.getRuntime().addShutdownHook(new Thread(standIn::close, "stop"));
+    StandInProcess.stopOnSignal(standIn::close);
     options.writePorts(standIn);
   }
 }
--- a/standins/src/main/java/io/foxtaildoor/standins/upstream/StandInOptions.java
+++ b/standins/src/main/java/io/foxtaildoor/standins/upstream/StandInOptions.java
@@ -1,6 +1,6 @@
 package io.foxtaildoor.standins.upstream;
 
-import java.io.File;
+import java.nio.file.Path;
 import org.kohsuke.args4j.Option;
 
 /** Command line of the stand-in. */
@@ -12,7 +12,7 @@
   int port;
 
   @Option(name = "--port-file", usage = "file that gets the port once the stand-in listens")
-  File portFile;
+  Path portFile;
 
   @Option(name = "--service", usage = "service to announce")
   String service = "bookings";
--- a/standins/src/main/java/io/foxtaildoor/standins/upstream/UpstreamStandIn.java
+++ b/standins/src/main/java/io/foxtaildoor/standins/upstream/UpstreamStandIn.java
@@ -1,5 +1,6 @@
 package io.foxtaildoor.standins.upstream;
 
+import io.foxtaildoor.standins.StandInProcess;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
@@ -11,16 +12,10 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpServerCodec;
-import java.io.File;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.file.Files;
-import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import org.kohsuke.args4j.CmdLineException;
-import org.kohsuke.args4j.CmdLineParser;
 
 /** Stand-in of an upstream instance. */
 public final class UpstreamStandIn implements AutoCloseable {
@@ -28,7 +23,6 @@
   private static final long STOP_BOUND_MILLIS = 10_000;
   private static final long STOP_POLL_MILLIS = 10;
   private static final int STOP_QUIET_POLLS = 20;
-  private static final int BAD_USAGE = 2;
 
   private final StandInOptions options;
   private final EventLoopGroup group =
@@ -45,18 +39,10 @@
 
   /** Runs the stand-in until SIGTERM, which stops it gracefully. */
   public static void main(String[] args) throws IOException {
-    StandInOptions options = new StandInOptions();
-    CmdLineParser parser = new CmdLineParser(options);
-    try {
-      parser.parseArgument(args);
-    } catch (CmdLineException e) {
-      System.err.println(e.getMessage());
-      parser.printUsage(System.err);
-      System.exit(BAD_USAGE);
-    }
+    StandInOptions options = StandInProcess.parse(new StandInOptions(), args);
     UpstreamStandIn standIn = new UpstreamStandIn(options);
     InetSocketAddress address = standIn.start();
-    Runtime.getRuntime().addShutdownHook(new Thread(standIn::close, "stop"));
+    StandInProcess.stopOnSignal(standIn::close);
     System.out.println("listening on " + address.getHostString() + ":" + address.getPort());
   }
 
@@ -79,9 +65,7 @@
                 });
     channel = bootstrap.bind(options.address, options.port).syncUninterruptibly().channel();
     InetSocketAddress bound = (InetSocketAddress) channel.localAddress();
-    if (options.portFile != null) {
-      writePort(options.portFile, bound.getPort());
-    }
+    StandInProcess.writePortFile(options.portFile, Integer.toString(bound.getPort()));
     if (options.announce != null) {
       String address = options.address + ":" + bound.getPort();
       announcer = new Announcer(options.announce, options.service, address, options.slots);
@@ -90,15 +74,6 @@
     return bound;
   }
 
-  /** Writes the file under another name first, so that a reader never sees a part of it. */
-  private static void writePort(File file, int port) throws IOException {
-    Path path = file.toPath().toAbsolutePath();
-    Path temporary = path.resolveSibling(path.getFileName() + ".tmp");
-    Files.writeString(temporary, Integer.toString(port));
-    Files.move(
-        temporary, path, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
-  }
-
   private void drain() {
     server.drain();
     if (announcer != null) {
--- a/standins/src/test/java/io/foxtaildoor/standins/upstream/UpstreamStandInTest.java
+++ b/standins/src/test/java/io/foxtaildoor/standins/upstream/UpstreamStandInTest.java
@@ -155,7 +155,7 @@
     node.start();
     Path portFile = Files.createTempFile("port", "");
     options.announce = "127.0.0.1:" + node.getAddress().getPort();
-    options.portFile = portFile.toFile();
+    options.portFile = portFile;
     try (UpstreamStandIn announced = new UpstreamStandIn(options)) {
       int port = announced.start().getPort();
       assertEquals(Files.readString(portFile), Integer.toString(port));
