--- a/product/src/main/java/io/foxtaildoor/version/approval/PartWriter.java
+++ b/product/src/main/java/io/foxtaildoor/version/approval/PartWriter.java
@@ -24,7 +24,7 @@
 final class PartWriter {
   private static final System.Logger LOG = System.getLogger(PartWriter.class.getName());
 
-  /** Removals that may come between the reading and the writing of a part. */
+  /** Writes of a part that may find it changed or removed since its revision was read. */
   private static final int MAX_ATTEMPTS = 4;
 
   private final PlatformClient platform;
@@ -39,32 +39,34 @@
 
   /** Writes a part; completes when it was written after this call. */
   CompletableFuture<Void> write(Digest digest, byte[] content) {
-    return write(digest, content, 1);
+    // Most parts are new, so the first write expects none and needs no reading before it. A part
+    // that exists may have been written before this call, so it is no evidence of this write.
+    return writer
+        .write(
+            AcceptedStore.partKey(digest),
+            PlatformClient.ABSENT_REVISION,
+            content,
+            present -> false)
+        .thenCompose(outcome -> repeatUnlessWritten(outcome, digest, content, 2));
   }
 
-  private CompletableFuture<Void> write(Digest digest, byte[] content, int attempt) {
-    String key = AcceptedStore.partKey(digest);
-    return reads
-        .get(key)
-        .thenCompose(
-            present ->
-                writer.write(
-                    key,
-                    present.revision(),
-                    content,
-                    // Whoever wrote the part since, it has been written after this call.
-                    later -> AcceptedStore.holds(later, digest)))
-        .thenCompose(
-            outcome -> {
-              if (outcome instanceof SettledWriter.Outcome.Written) {
-                return CompletableFuture.completedFuture(null);
-              }
-              if (attempt < MAX_ATTEMPTS) {
-                return write(digest, content, attempt + 1);
-              }
-              throw new FoxtaildoorException(
-                  ErrorKind.PLATFORM_UNAVAILABLE, "the part cannot be kept on the platform");
-            });
+  private CompletableFuture<Void> repeatUnlessWritten(
+      SettledWriter.Outcome outcome, Digest digest, byte[] content, int attempt) {
+    if (!(outcome instanceof SettledWriter.Outcome.Superseded superseded)) {
+      return CompletableFuture.completedFuture(null);
+    }
+    if (attempt > MAX_ATTEMPTS) {
+      throw new FoxtaildoorException(
+          ErrorKind.PLATFORM_UNAVAILABLE, "the part cannot be kept on the platform");
+    }
+    return writer
+        .write(
+            AcceptedStore.partKey(digest),
+            superseded.present().revision(),
+            content,
+            // Whoever wrote the part since, it has been written after this call.
+            later -> AcceptedStore.holds(later, digest))
+        .thenCompose(next -> repeatUnlessWritten(next, digest, content, attempt + 1));
   }
 
   /**
--- a/product/src/test/java/io/foxtaildoor/process/platform/FaultyPlatform.java
+++ b/product/src/test/java/io/foxtaildoor/process/platform/FaultyPlatform.java
@@ -26,6 +26,9 @@
     LATE
   }
 
+  /** Ends the key that the chooser of faults gets for a removal. */
+  public static final String REMOVAL = "#removal";
+
   private static final Duration LATENESS = Duration.ofMillis(250);
 
   private final VirtualTime time;
@@ -82,18 +85,18 @@
     if (value.length > MAX_VALUE_BYTES) {
       throw new IllegalArgumentException("value of " + value.length + " bytes");
     }
-    return write(key, expectedRevision, () -> put(key, value));
+    return write(key, key, expectedRevision, () -> put(key, value));
   }
 
   @Override
   public CompletableFuture<PlatformResult<PlatformEntry>> compareAndDelete(
       String key, long expectedRevision) {
-    return write(key, expectedRevision, () -> entries.remove(key));
+    return write(key, key + REMOVAL, expectedRevision, () -> entries.remove(key));
   }
 
   private CompletableFuture<PlatformResult<PlatformEntry>> write(
-      String key, long expectedRevision, Runnable change) {
-    Fault fault = faults.apply(key, true);
+      String key, String shownKey, long expectedRevision, Runnable change) {
+    Fault fault = faults.apply(shownKey, true);
     return answer(
         () ->
             switch (fault) {
--- a/product/src/test/java/io/foxtaildoor/version/approval/ApprovalFaultTest.java
+++ b/product/src/test/java/io/foxtaildoor/version/approval/ApprovalFaultTest.java
@@ -14,6 +14,7 @@
 import io.foxtaildoor.common.ErrorKind;
 import io.foxtaildoor.process.audit.AuditEntry;
 import io.foxtaildoor.process.audit.AuditKind;
+import io.foxtaildoor.process.platform.FaultyPlatform;
 import io.foxtaildoor.process.platform.FaultyPlatform.Fault;
 import io.foxtaildoor.version.approval.OperatorResult.Conflict;
 import io.foxtaildoor.version.approval.OperatorResult.Done;
@@ -262,16 +263,21 @@
       assertTrue((a instanceof Done ? b : a) instanceof Invalid, a + " " + b);
     }
 
-    /** With one retained version, blue's approval removes the part that red accepts again. */
+    /**
+     * With one retained version, blue's approval removes the part that red accepts again. The
+     * removal arrives late, so that red's approval begins before, between or after.
+     */
     private static void partRemoval(Mesh mesh, Mesh.Node one, Mesh.Node two) {
       one.accept(ADA, RED, 0, document(RED, 1));
       one.accept(ADA, RED, 1, document(RED, 2));
       one.accept(ADA, BLUE, 0, document(BLUE, 1));
       SubmissionReceipt red = mesh.done(one.submit(ADA, RED, 2, document(RED, 1)));
       SubmissionReceipt blue = mesh.done(one.submit(ADA, BLUE, 1, document(BLUE, 2)));
-      var first = one.service.approve(ADA, RED, red.proposal(), red.base());
+      mesh.platform.setFaults(
+          (key, write) -> key.endsWith(FaultyPlatform.REMOVAL) ? Fault.LATE : Fault.NONE);
       var second = two.service.approve(BEN, BLUE, blue.proposal(), blue.base());
-      mesh.done(first);
+      mesh.time.run(Duration.ofMillis(mesh.random.nextInt(400)));
+      mesh.done(one.service.approve(ADA, RED, red.proposal(), red.base()));
       mesh.done(second);
       mesh.time.run(Duration.ofMinutes(1));
     }
