Test hostile nesting and the number of platform calls of an approval

Cause: a process has about one platform call a second, and a document of 256 Ki characters can nest very deeply. Change: a test that lists the calls of an approval, and one of ten deeply nested documents and an expansion by aliases.

--- a/product/src/test/java/io/foxtaildoor/version/approval/ApprovalServiceTest.java
+++ b/product/src/test/java/io/foxtaildoor/version/approval/ApprovalServiceTest.java
@@ -17,10 +17,12 @@
 import io.foxtaildoor.common.TeamId;
 import io.foxtaildoor.process.audit.AuditEntry;
 import io.foxtaildoor.process.audit.AuditKind;
+import io.foxtaildoor.process.platform.FaultyPlatform.Fault;
 import io.foxtaildoor.version.manifest.HeldConfiguration;
 import io.foxtaildoor.version.questionnaire.BadQuestionnaires;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -192,6 +194,23 @@
       assertEquals(held.manifest().entries().keySet(), Set.of(RED, BLUE));
     }
 
+    /** Guards against approvals that use up the few platform calls of a process. */
+    @Test
+    public void approvalTakesFourCallsBesidesAuditAndRemoval() {
+      SubmissionReceipt receipt = mesh.done(node.submit(ADA, RED, 0, document(RED, 1)));
+      mesh.time.run(Duration.ofMinutes(1));
+      List<String> calls = new ArrayList<>();
+      mesh.platform.setFaults(
+          (key, write) -> {
+            calls.add((write ? "write " : "read ") + key.replaceFirst("/.*", ""));
+            return Fault.NONE;
+          });
+      mesh.done(node.service.approve(ADA, RED, receipt.proposal(), receipt.base()));
+      assertEquals(
+          calls.stream().filter(call -> !call.endsWith("audit")).toList(),
+          List.of("read head", "read questionnaire", "write part", "write head"));
+    }
+
     /** Guards against versions that are given twice when the platform lost its newest state. */
     @Test
     public void olderHeadThanInForceIsRefused() {
--- a/product/src/test/java/io/foxtaildoor/version/questionnaire/QuestionnaireReaderTest.java
+++ b/product/src/test/java/io/foxtaildoor/version/questionnaire/QuestionnaireReaderTest.java
@@ -103,6 +103,21 @@
       assertEquals(problems.size(), ProblemList.MAX_PROBLEMS + 1);
     }
 
+    /** Guards against exhaustion of the stack or of time by small hostile documents. */
+    @Test
+    public void hostileNestingIsRefused() {
+      for (String unit :
+          List.of("[", "{a: ", "- ", "? ", "a: {", "[{", "&a [", "!!x [", "*a ", "%")) {
+        String document = unit.repeat(Limits.MAX_DOCUMENT_CHARS / unit.length());
+        assertTrue(QuestionnaireReader.read(document) instanceof Invalid, unit);
+      }
+      String expansion = "a: &a [x, x]\nb: &b [*a, *a]\nc: &c [*b, *b]\nd: [*c, *c]\n";
+      List<Problem> problems = ((Invalid) QuestionnaireReader.read(expansion)).problems();
+      assertTrue(
+          problems.stream().filter(p -> p.kind() == ProblemKind.YAML_FEATURE).count() >= 9,
+          problems.toString());
+    }
+
     /** Guards against exceptions from the YAML library for text that is damaged at random. */
     @Test
     public void damagedTextNeverThrows() {
