Assemble the reader, count platform calls and take applying off the link threads

Change: ReaderService; counters of platform calls by result; answers to pulls and reads of the head continue on the scheduler that the caller passes.

--- a/product/src/main/java/io/foxtaildoor/process/platform/ConfigurationReader.java
+++ b/product/src/main/java/io/foxtaildoor/process/platform/ConfigurationReader.java
@@ -57,6 +57,8 @@
    * @param self address under which other nodes reach this one
    * @param partFetches view of the client for fetching parts
    * @param isReader whether this node holds a reader lease now
+   * @param scheduler one thread that serves no requests, because applying a version takes tens of
+   *     milliseconds
    */
   public ConfigurationReader(
       DataCentreId dataCentre,
@@ -102,7 +104,7 @@
   /** Continues after a call; a fault in a step delays the reader but does not end it. */
   private <T> void then(CompletableFuture<T> call, Consumer<T> next) {
     CompletableFuture<Void> unused =
-        call.thenAccept(next)
+        call.thenAcceptAsync(next, task -> scheduler.schedule(0, task))
             .exceptionally(
                 e -> {
                   LOG.log(System.Logger.Level.ERROR, "a step of the config reader failed", e);
--- a/product/src/main/java/io/foxtaildoor/process/platform/HttpPlatformClient.java
+++ b/product/src/main/java/io/foxtaildoor/process/platform/HttpPlatformClient.java
@@ -1,5 +1,6 @@
 package io.foxtaildoor.process.platform;
 
+import io.micrometer.core.instrument.MeterRegistry;
 import io.netty.channel.EventLoopGroup;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
@@ -24,8 +25,12 @@
    * @param clock monotonic nanoseconds
    */
   public HttpPlatformClient(
-      PlatformSettings settings, EventLoopGroup group, LongSupplier clock, RandomGenerator random) {
-    calls = new PlatformCalls(settings, group, clock, random);
+      PlatformSettings settings,
+      EventLoopGroup group,
+      LongSupplier clock,
+      RandomGenerator random,
+      MeterRegistry registry) {
+    calls = new PlatformCalls(settings, group, clock, random, registry);
     background = new BudgetedPlatformClient(calls, settings.background(), true);
     interactive = new BudgetedPlatformClient(calls, settings.interactive(), false);
     partFetches = new BudgetedPlatformClient(calls, settings.partFetches(), true);
--- a/product/src/main/java/io/foxtaildoor/process/platform/PlatformCalls.java
+++ b/product/src/main/java/io/foxtaildoor/process/platform/PlatformCalls.java
@@ -1,6 +1,7 @@
 package io.foxtaildoor.process.platform;
 
 import io.foxtaildoor.common.ExponentialBackoff;
+import io.micrometer.core.instrument.MeterRegistry;
 import io.netty.channel.EventLoopGroup;
 import java.util.List;
 import java.util.OptionalLong;
@@ -20,6 +21,7 @@
   private final EventLoopGroup group;
   private final LongSupplier clock;
   private final RandomGenerator random;
+  private final PlatformMetrics metrics;
   private final Object lock = new Object();
   private final ExponentialBackoff backoff;
   private boolean blocked;
@@ -28,10 +30,15 @@
   private volatile boolean closed;
 
   PlatformCalls(
-      PlatformSettings settings, EventLoopGroup group, LongSupplier clock, RandomGenerator random) {
+      PlatformSettings settings,
+      EventLoopGroup group,
+      LongSupplier clock,
+      RandomGenerator random,
+      MeterRegistry registry) {
     this.group = group;
     this.clock = clock;
     this.random = random;
+    metrics = new PlatformMetrics(registry);
     callTimeoutNanos = settings.callTimeout().toNanos();
     backoff = new ExponentialBackoff(settings.initialBackoff(), settings.maxBackoff());
     endpoints =
@@ -49,14 +56,14 @@
   CompletableFuture<Attempt> run(PlatformRequest request, CallBudget budget, boolean backsOff) {
     long now = clock.getAsLong();
     if (closed || endpoints.isEmpty()) {
-      return notSent("the platform client is closed or has no endpoint");
+      return withheld("the platform client is closed or has no endpoint");
     }
     if (backsOff && blockedAt(now)) {
-      return notSent("backing off after a failed call");
+      return withheld("backing off after a failed call");
     }
     OptionalLong wait = budget.reserve(now, callTimeoutNanos);
     if (wait.isEmpty()) {
-      return notSent("the call budget is used up");
+      return withheld("the call budget is used up");
     }
     long deadline = now + callTimeoutNanos + request.waitNanos();
     CompletableFuture<Attempt> result = new CompletableFuture<>();
@@ -69,7 +76,8 @@
     return result;
   }
 
-  private static CompletableFuture<Attempt> notSent(String reason) {
+  private CompletableFuture<Attempt> withheld(String reason) {
+    metrics.withheld();
     return CompletableFuture.completedFuture(new Attempt.NotSent(reason));
   }
 
@@ -111,6 +119,7 @@
   }
 
   private void record(Attempt attempt, int index) {
+    metrics.ended(attempt, overLimit(attempt));
     synchronized (lock) {
       if (succeeded(attempt)) {
         backoff.succeeded();
@@ -124,9 +133,13 @@
     }
   }
 
+  private static boolean overLimit(Attempt attempt) {
+    return attempt instanceof Attempt.Answered answered && answered.status() == TOO_MANY_REQUESTS;
+  }
+
   private static boolean succeeded(Attempt attempt) {
     return attempt instanceof Attempt.Answered answered
-        && answered.status() != TOO_MANY_REQUESTS
+        && !overLimit(attempt)
         && answered.status() < SERVER_ERROR;
   }
 
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/process/platform/PlatformMetrics.java
@@ -0,0 +1,42 @@
+package io.foxtaildoor.process.platform;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.MeterRegistry;
+
+/** Counters of calls to the platform, to compare with the limits of the platform. */
+final class PlatformMetrics {
+  private static final String CALLS = "foxtaildoor.platform.calls";
+  private static final String RESULT = "result";
+
+  private final Counter answered;
+  private final Counter limited;
+  private final Counter notSent;
+  private final Counter broken;
+  private final Counter withheld;
+
+  PlatformMetrics(MeterRegistry registry) {
+    answered = registry.counter(CALLS, RESULT, "answered");
+    limited = registry.counter(CALLS, RESULT, "limited");
+    notSent = registry.counter(CALLS, RESULT, "not-sent");
+    broken = registry.counter(CALLS, RESULT, "broken");
+    withheld = registry.counter(CALLS, RESULT, "withheld");
+  }
+
+  /** Counts a call that the budget or the back-off did not let through. */
+  void withheld() {
+    withheld.increment();
+  }
+
+  /** Counts how a call ended. */
+  void ended(Attempt attempt, boolean overLimit) {
+    if (overLimit) {
+      limited.increment();
+    } else if (attempt instanceof Attempt.Answered) {
+      answered.increment();
+    } else if (attempt instanceof Attempt.NotSent) {
+      notSent.increment();
+    } else {
+      broken.increment();
+    }
+  }
+}
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/process/platform/ReaderService.java
@@ -0,0 +1,96 @@
+package io.foxtaildoor.process.platform;
+
+import io.foxtaildoor.common.DataCentreId;
+import io.foxtaildoor.common.NodeId;
+import io.foxtaildoor.common.TaskScheduler;
+import io.foxtaildoor.process.membership.FleetView;
+import io.foxtaildoor.process.membership.NodeRecord;
+import io.foxtaildoor.process.membership.NodeState;
+import java.util.List;
+import java.util.function.LongSupplier;
+import java.util.random.RandomGenerator;
+
+/** Assembles the election, its driver and the config reader of one node. */
+public final class ReaderService implements AutoCloseable {
+  private final FleetView fleet;
+  private final ReaderSettings settings;
+  private final HttpPlatformClient client;
+  private final PublishedConfiguration distributor;
+  private final TaskScheduler scheduler;
+  private final LongSupplier clock;
+  private final RandomGenerator random;
+  private ReaderLeaseKeeper keeper;
+  private ConfigurationReader reader;
+
+  /**
+   * Creates a service.
+   *
+   * @param fleet gives this node's id, address and data centre, and the nodes that are alive
+   * @param scheduler one thread that serves no requests, because applying a version takes tens of
+   *     milliseconds
+   * @param clock monotonic nanoseconds
+   * @param random safe for use by several threads
+   */
+  public ReaderService(
+      FleetView fleet,
+      ReaderSettings settings,
+      HttpPlatformClient client,
+      PublishedConfiguration distributor,
+      TaskScheduler scheduler,
+      LongSupplier clock,
+      RandomGenerator random) {
+    this.fleet = fleet;
+    this.settings = settings;
+    this.client = client;
+    this.distributor = distributor;
+    this.scheduler = scheduler;
+    this.clock = clock;
+    this.random = random;
+  }
+
+  /** Starts to take part in the election; called once, after the node has joined. */
+  public void start() {
+    NodeRecord self = fleet.self();
+    DataCentreId dataCentre = self.dataCentre();
+    ReaderElection election =
+        new ReaderElection(self.id(), dataCentre, settings, clock.getAsLong(), random);
+    keeper = new ReaderLeaseKeeper(election, client, this::alive, scheduler, clock);
+    reader =
+        new ConfigurationReader(
+            dataCentre,
+            self.address(),
+            settings,
+            client,
+            client.partFetches(),
+            keeper::isReader,
+            distributor,
+            scheduler,
+            clock,
+            random);
+    keeper.start();
+    reader.start();
+  }
+
+  /** Whether this node is one of the config readers of its data centre. */
+  public boolean isReader() {
+    return keeper != null && keeper.isReader();
+  }
+
+  private List<NodeId> alive() {
+    DataCentreId dataCentre = fleet.self().dataCentre();
+    return fleet.nodes().stream()
+        .filter(node -> node.dataCentre().equals(dataCentre))
+        .filter(node -> node.state() == NodeState.ALIVE)
+        .map(NodeRecord::id)
+        .toList();
+  }
+
+  /** Stops reading and gives the lease back. */
+  @Override
+  public void close() {
+    if (keeper != null) {
+      reader.close();
+      keeper.close();
+    }
+  }
+}
--- a/product/src/main/java/io/foxtaildoor/version/distribution/ConfigurationDistributor.java
+++ b/product/src/main/java/io/foxtaildoor/version/distribution/ConfigurationDistributor.java
@@ -57,6 +57,8 @@
    * Creates a distributor.
    *
    * @param caller calls other nodes; must complete every call
+   * @param scheduler threads that serve no requests, because applying a version of 810 services
+   *     takes tens of milliseconds
    * @param clock monotonic nanoseconds
    * @param random used under this object's lock only
    */
@@ -270,13 +272,14 @@
     CompletableFuture<Void> unused =
         caller
             .call(pull.source(), request)
-            .thenAccept(
+            .thenAcceptAsync(
                 answer -> {
                   metrics.receivedBytes.increment(answer.getSerializedSize());
                   if (current(pull)) {
                     next.accept(answer);
                   }
-                })
+                },
+                task -> scheduler.schedule(0, task))
             .exceptionally(
                 e -> {
                   failed(pull, e);
