Repeat urgent pushes once and follow up exchanges sooner

Cause: at 1,000 nodes with 5% loss a leaving node was known to all only after 740 to 1,280 ms, as one push with a fan-out of 4 misses about 2% of the nodes.

--- a/product/src/main/java/io/foxtaildoor/process/membership/ExchangeSchedule.java
+++ b/product/src/main/java/io/foxtaildoor/process/membership/ExchangeSchedule.java
@@ -27,11 +27,15 @@
   /** Time after which a call without a result counts as failed. */
   private static final long CALL_LIMIT_NANOS = Duration.ofSeconds(15).toNanos();
 
+  /** Records learned in one exchange that are still passed on by gossip. */
+  private static final int MAX_GOSSIPED = 16;
+
   /**
    * An exchange that changed more records is followed by another one soon: after a mass restart the
-   * contacts themselves still learn, and after a partition the nodes still refute their death.
+   * contacts themselves still learn, and after a partition the nodes still refute their death. At
+   * rest an exchange changes less than one record, those that gossip has not delivered yet.
    */
-  private static final int MANY_CHANGES = 16;
+  private static final int FEW_CHANGES = 4;
 
   /** Wait before the exchange that follows one with many changes, doubled by jitter at most. */
   private static final long FOLLOW_UP_NANOS = Duration.ofSeconds(10).toNanos();
@@ -153,7 +157,7 @@
     }
     // Few changes are updates that gossip missed; many are a join or a healed partition, which
     // exchanges carry at lower cost.
-    if (changed.size() <= MANY_CHANGES) {
+    if (changed.size() <= MAX_GOSSIPED) {
       changed.forEach(this::gossipPresent);
     }
     changes += changed.size();
@@ -214,7 +218,7 @@
 
   private void finish(long nowNanos) {
     running = false;
-    long wait = changes > MANY_CHANGES ? FOLLOW_UP_NANOS : settings.exchangePeriod().toNanos();
+    long wait = changes > FEW_CHANGES ? FOLLOW_UP_NANOS : settings.exchangePeriod().toNanos();
     nextAt = nowNanos + wait / 2 + random.nextLong(wait);
     if (requestedPeer != null) {
       nextAt = nowNanos;
--- a/product/src/main/java/io/foxtaildoor/process/membership/MembershipSettings.java
+++ b/product/src/main/java/io/foxtaildoor/process/membership/MembershipSettings.java
@@ -15,7 +15,7 @@
  * @param disseminationFactor an update is sent this many times log2 of the number of nodes
  * @param maxUpdateBytes limit for the updates in one datagram
  * @param fanout nodes to which an urgent update is pushed
- * @param urgentRepeat time after which a leaving node pushes its record for the second time
+ * @param urgentRepeat time after which an urgent update is pushed for the second time
  * @param exchangePeriod time between two state exchanges
  * @param deadMemory time for which a dead node is remembered
  * @param leftMemory time for which a node that left is remembered
--- a/product/src/main/java/io/foxtaildoor/process/membership/SwimCore.java
+++ b/product/src/main/java/io/foxtaildoor/process/membership/SwimCore.java
@@ -12,7 +12,9 @@
 import io.foxtaildoor.version.manifest.VersionStamp;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.List;
 import java.util.random.RandomGenerator;
 
@@ -31,8 +33,14 @@
   /** Urgent records in one push; eight records fit into one datagram. */
   private static final int URGENT_RECORDS = 8;
 
+  /** Pushes that wait for their repetition; more are left to gossip. */
+  private static final int MAX_REPEATS = 256;
+
   private static final long NEVER = Long.MIN_VALUE;
 
+  /** An urgent push that is due once more. */
+  private record Repeat(long at, List<NodeRecord> records) {}
+
   private final MembershipSettings settings;
   private final RecordCodec codec;
   private final LocalNode local;
@@ -45,6 +53,7 @@
   private final StateExchanges exchanges;
   private final ExchangeSchedule schedule;
   private final StatusQueries queries;
+  private final Deque<Repeat> repeats = new ArrayDeque<>();
   private long lastTickAt;
   private long lastUrgentAt;
   private long leavingRepeatAt = NEVER;
@@ -120,6 +129,7 @@
       pushUrgent(List.of(local.record()), nowNanos);
       outbox.add(new SwimOutput.LeavingPushed());
     }
+    repeatUrgent(nowNanos);
     flushUrgent(nowNanos);
   }
 
@@ -249,8 +259,25 @@
   }
 
   private void flushUrgent(long nowNanos) {
-    if (fleet.hasUrgent()) {
-      pushUrgent(fleet.takeUrgent(URGENT_RECORDS), nowNanos);
+    if (!fleet.hasUrgent()) {
+      return;
+    }
+    List<NodeRecord> records = fleet.takeUrgent(URGENT_RECORDS);
+    pushUrgent(records, nowNanos);
+    if (repeats.size() < MAX_REPEATS) {
+      repeats.addLast(new Repeat(nowNanos + settings.urgentRepeat().toNanos(), records));
+    }
+  }
+
+  /**
+   * One push of each node with a fan-out of 4 misses about 2% of the nodes, which then learn from a
+   * probe up to one period later; a second push misses less than 0.1%.
+   */
+  private void repeatUrgent(long nowNanos) {
+    Repeat first = repeats.peekFirst();
+    if (first != null && nowNanos - first.at() >= 0) {
+      repeats.removeFirst();
+      pushUrgent(first.records(), nowNanos);
     }
   }
 
