Drop gossip that does not fit in time

Cause: after a cold start of 1,000 nodes each node kept filling its datagrams with old updates: spreading one announcement cost 133 updates a node, against 3 at 100 nodes. 1,000 updates of 40 sends need half an hour of datagrams. Change: an update is dropped after four times the send limit in datagrams; exchanges that follow up a change wait twice as long each time.

--- a/product/src/main/java/io/foxtaildoor/process/membership/ExchangeSchedule.java
+++ b/product/src/main/java/io/foxtaildoor/process/membership/ExchangeSchedule.java
@@ -37,8 +37,8 @@
    */
   private static final int FEW_CHANGES = 4;
 
-  /** Wait before the exchange that follows one with many changes, doubled by jitter at most. */
-  private static final long FOLLOW_UP_NANOS = Duration.ofSeconds(10).toNanos();
+  /** Mean wait before an exchange that follows one with many changes; doubles up to the period. */
+  private static final long FIRST_FOLLOW_UP_NANOS = Duration.ofSeconds(10).toNanos();
 
   private final MembershipSettings settings;
   private final RecordCodec codec;
@@ -61,6 +61,7 @@
   private boolean joined;
   private long callId;
   private long callStartedAt;
+  private long followUpNanos = FIRST_FOLLOW_UP_NANOS;
   private long nextAt;
 
   ExchangeSchedule(
@@ -218,7 +219,9 @@
 
   private void finish(long nowNanos) {
     running = false;
-    long wait = changes > FEW_CHANGES ? FOLLOW_UP_NANOS : settings.exchangePeriod().toNanos();
+    long period = settings.exchangePeriod().toNanos();
+    long wait = changes > FEW_CHANGES ? Math.min(followUpNanos, period) : period;
+    followUpNanos = changes > FEW_CHANGES ? 2 * wait : FIRST_FOLLOW_UP_NANOS;
     nextAt = nowNanos + wait / 2 + random.nextLong(wait);
     if (requestedPeer != null) {
       nextAt = nowNanos;
--- a/product/src/main/java/io/foxtaildoor/process/membership/GossipQueue.java
+++ b/product/src/main/java/io/foxtaildoor/process/membership/GossipQueue.java
@@ -23,22 +23,32 @@
   /** One update; cancelled when a newer record of the same node replaced it. */
   private static final class Entry {
     private final NodeRecord record;
+    private final long addedAt;
     private boolean cancelled;
 
-    Entry(NodeRecord record) {
+    Entry(NodeRecord record, long addedAt) {
       this.record = record;
+      this.addedAt = addedAt;
     }
   }
 
   /** Replaced updates that may wait unsent, as in a node that has nobody to send to. */
   private static final int MAX_CANCELLED = 64;
 
+  /**
+   * An update is dropped after this many times the send limit in datagrams, sent or not. A mass
+   * restart queues more updates than fit into hours of datagrams; state exchanges carry them
+   * sooner.
+   */
+  private static final int LIFETIME_FACTOR = 4;
+
   private final Map<NodeId, Entry> current = new HashMap<>();
   private final List<Deque<Entry>> bySendCount = new ArrayList<>();
+  private long datagrams;
 
   /** Adds a record, which replaces the one queued for the same node. */
   void add(NodeRecord record) {
-    Entry entry = new Entry(record);
+    Entry entry = new Entry(record, datagrams);
     Entry former = current.put(record.id(), entry);
     if (former != null) {
       former.cancelled = true;
@@ -69,10 +79,12 @@
    * @param sendLimit number of times that an update is sent in all
    */
   void take(int sendLimit, Packer packer) {
+    datagrams++;
     if (current.isEmpty()) {
       bySendCount.clear();
       return;
     }
+    dropExpired(datagrams - (long) LIFETIME_FACTOR * sendLimit);
     List<Entry> taken = new ArrayList<>();
     int[] counts = new int[bySendCount.size()];
     boolean fits = true;
@@ -93,6 +105,19 @@
     requeue(taken, counts, sendLimit);
   }
 
+  /** Drops the updates that were added before a datagram; each level is in the order of adding. */
+  private void dropExpired(long oldest) {
+    for (Deque<Entry> level : bySendCount) {
+      Entry first;
+      while ((first = level.peekFirst()) != null && (first.cancelled || first.addedAt < oldest)) {
+        level.removeFirst();
+        if (!first.cancelled) {
+          current.remove(first.record.id());
+        }
+      }
+    }
+  }
+
   private void requeue(List<Entry> taken, int[] counts, int sendLimit) {
     int next = 0;
     for (int count = 0; count < counts.length; count++) {
--- a/product/src/test/java/io/foxtaildoor/process/membership/MembershipMeasurements.java
+++ b/product/src/test/java/io/foxtaildoor/process/membership/MembershipMeasurements.java
@@ -247,7 +247,13 @@
     }
     print(
         "fleet nodes=%d converged after %d s, frames=%d bytes", size, seconds, network.frameBytes);
-    network.run(Duration.ofMinutes(2));
+    long updates;
+    do {
+      updates = network.updates;
+      network.run(Duration.ofSeconds(10));
+      seconds += 10;
+    } while (network.updates - updates > size);
+    print("fleet nodes=%d at rest after %d s", size, seconds);
     return network;
   }
 
