--- a/product/src/main/java/io/foxtaildoor/process/membership/ExchangeSchedule.java
+++ b/product/src/main/java/io/foxtaildoor/process/membership/ExchangeSchedule.java
@@ -27,14 +27,18 @@
   /** Time after which a call without a result counts as failed. */
   private static final long CALL_LIMIT_NANOS = Duration.ofSeconds(15).toNanos();
 
+  /** Records learned in one exchange that are still passed on by gossip. */
+  private static final int MAX_GOSSIPED = 16;
+
   /**
    * An exchange that changed more records is followed by another one soon: after a mass restart the
-   * contacts themselves still learn, and after a partition the nodes still refute their death.
+   * contacts themselves still learn, and after a partition the nodes still refute their death. At
+   * rest an exchange changes less than one record, those that gossip has not delivered yet.
    */
-  private static final int MANY_CHANGES = 16;
+  private static final int FEW_CHANGES = 4;
 
-  /** Wait before the exchange that follows one with many changes, doubled by jitter at most. */
-  private static final long FOLLOW_UP_NANOS = Duration.ofSeconds(10).toNanos();
+  /** Mean wait before an exchange that follows one with many changes; doubles up to the period. */
+  private static final long FIRST_FOLLOW_UP_NANOS = Duration.ofSeconds(10).toNanos();
 
   private final MembershipSettings settings;
   private final RecordCodec codec;
@@ -57,6 +61,7 @@
   private boolean joined;
   private long callId;
   private long callStartedAt;
+  private long followUpNanos = FIRST_FOLLOW_UP_NANOS;
   private long nextAt;
 
   ExchangeSchedule(
@@ -153,7 +158,7 @@
     }
     // Few changes are updates that gossip missed; many are a join or a healed partition, which
     // exchanges carry at lower cost.
-    if (changed.size() <= MANY_CHANGES) {
+    if (changed.size() <= MAX_GOSSIPED) {
       changed.forEach(this::gossipPresent);
     }
     changes += changed.size();
@@ -214,7 +219,9 @@
 
   private void finish(long nowNanos) {
     running = false;
-    long wait = changes > MANY_CHANGES ? FOLLOW_UP_NANOS : settings.exchangePeriod().toNanos();
+    long period = settings.exchangePeriod().toNanos();
+    long wait = changes > FEW_CHANGES ? Math.min(followUpNanos, period) : period;
+    followUpNanos = changes > FEW_CHANGES ? 2 * wait : FIRST_FOLLOW_UP_NANOS;
     nextAt = nowNanos + wait / 2 + random.nextLong(wait);
     if (requestedPeer != null) {
       nextAt = nowNanos;
