Add the passage of streams to the local upstream

Accepted streams end at a stand-alone HTTP/1.1 upstream. A progressive write promise tells a head of which no byte reached the socket, which is passed on over another connection, from one that did, whose outcome is unknown and which is never repeated.

A new instance starts with all slots below its cold start; before, its limit grew from one.

--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/connection/upstream/UpstreamConnection.java
@@ -0,0 +1,260 @@
+package io.foxtaildoor.connection.upstream;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelProgressiveFuture;
+import io.netty.channel.ChannelProgressiveFutureListener;
+import io.netty.channel.ChannelProgressivePromise;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
+
+/** One connection to the upstream with at most one exchange; confined to the pool's event loop. */
+final class UpstreamConnection extends SimpleChannelInboundHandler<HttpObject> {
+  private final UpstreamPool pool;
+  private Channel channel;
+  private User user;
+  private boolean used;
+  private boolean requestWritten;
+  private boolean answerEnded;
+  private boolean keepAlive;
+  private boolean interim;
+  private long idleSinceNanos;
+
+  /** Hears of the exchange that the connection carries. */
+  interface User {
+    /** At least one byte of the request head was written to the socket. */
+    void handedOver();
+
+    /** The whole head was written. */
+    void headWritten();
+
+    /** The connection failed before any byte was written. */
+    void notWritten(Throwable cause);
+
+    /** More of the body may be written. */
+    void bodyWritable();
+
+    /** A final or interim answer head. */
+    void answerHead(HttpResponse answer);
+
+    /** A part of the answer, which is released by the caller; the last when {@code end} is set. */
+    void answerBody(ByteBuf data, boolean end);
+
+    /** The answer is not HTTP. */
+    void answerMalformed(Throwable cause);
+
+    /** The connection ended before the answer did. */
+    void broken(String reason);
+  }
+
+  UpstreamConnection(UpstreamPool pool) {
+    this.pool = pool;
+  }
+
+  @Override
+  public void handlerAdded(ChannelHandlerContext ctx) {
+    channel = ctx.channel();
+  }
+
+  boolean isActive() {
+    return channel.isActive();
+  }
+
+  /** Whether the connection carried an exchange before, so that it may be stale. */
+  boolean wasUsed() {
+    return used;
+  }
+
+  long idleSinceNanos() {
+    return idleSinceNanos;
+  }
+
+  void idle(long nowNanos) {
+    idleSinceNanos = nowNanos;
+  }
+
+  /** Starts an exchange. */
+  void begin(User newUser, HttpRequest head, boolean end) {
+    user = newUser;
+    requestWritten = false;
+    answerEnded = false;
+    keepAlive = false;
+    ChannelProgressivePromise promise = channel.newProgressivePromise();
+    promise.addListener(new HeadListener(newUser));
+    var unused = channel.write(head, promise);
+    if (end) {
+      writeEnd();
+    }
+    channel.flush();
+  }
+
+  /** Tells apart a head that never reached the socket from one that did in part. */
+  private final class HeadListener implements ChannelProgressiveFutureListener {
+    private final User listener;
+    private boolean progressed;
+
+    HeadListener(User listener) {
+      this.listener = listener;
+    }
+
+    @Override
+    public void operationProgressed(ChannelProgressiveFuture future, long progress, long total) {
+      if (progress > 0) {
+        progress();
+      }
+    }
+
+    private void progress() {
+      if (!progressed) {
+        progressed = true;
+        listener.handedOver();
+      }
+    }
+
+    @Override
+    public void operationComplete(ChannelProgressiveFuture future) {
+      if (future.isSuccess()) {
+        progress();
+        used = true;
+        listener.headWritten();
+      } else if (!progressed) {
+        detach(listener);
+        close();
+        listener.notWritten(future.cause());
+      } else {
+        close();
+      }
+    }
+  }
+
+  private void detach(User listener) {
+    if (user == listener) {
+      user = null;
+    }
+  }
+
+  boolean bodyWritable() {
+    return channel.isWritable();
+  }
+
+  /** Writes a part of the body and releases it; runs the action when the socket took it. */
+  void writeBody(ByteBuf data, Runnable taken) {
+    channel
+        .writeAndFlush(new DefaultHttpContent(data))
+        .addListener(
+            (ChannelFuture written) -> {
+              if (written.isSuccess()) {
+                taken.run();
+              } else {
+                close();
+              }
+            });
+  }
+
+  void writeEnd() {
+    channel
+        .writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
+        .addListener(
+            (ChannelFuture written) -> {
+              if (written.isSuccess()) {
+                requestWritten = true;
+                finishIfDone();
+              } else {
+                close();
+              }
+            });
+  }
+
+  void read(boolean on) {
+    channel.config().setAutoRead(on);
+  }
+
+  boolean isReading() {
+    return channel.config().isAutoRead();
+  }
+
+  @Override
+  protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) {
+    if (user == null) {
+      // Bytes without a request: the next answer on this connection could be misattributed.
+      close();
+      return;
+    }
+    if (message.decoderResult().isFailure()) {
+      User failed = user;
+      abandon();
+      failed.answerMalformed(message.decoderResult().cause());
+      return;
+    }
+    if (message instanceof HttpResponse answer) {
+      interim = answer.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+      keepAlive = HttpUtil.isKeepAlive(answer);
+      user.answerHead(answer);
+    }
+    // The codec ends each interim answer with an empty last content of its own.
+    if (message instanceof HttpContent content && !interim && user != null) {
+      boolean end = content instanceof LastHttpContent;
+      user.answerBody(content.content(), end);
+      if (end && user != null) {
+        answerEnded = true;
+        finishIfDone();
+      }
+    }
+  }
+
+  /** Gives the connection back when both directions of its exchange are finished. */
+  private void finishIfDone() {
+    if (user == null || !answerEnded) {
+      return;
+    }
+    user = null;
+    if (requestWritten && keepAlive && channel.isActive()) {
+      read(true);
+      pool.release(this);
+    } else {
+      close();
+    }
+  }
+
+  /** Gives up the exchange; the connection is never used again. */
+  void abandon() {
+    user = null;
+    close();
+  }
+
+  void close() {
+    channel.close().addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+  }
+
+  @Override
+  public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+    if (user != null && channel.isWritable()) {
+      user.bodyWritable();
+    }
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+    // The close that follows is reported as a broken exchange.
+    close();
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext ctx) {
+    User last = user;
+    user = null;
+    if (last != null) {
+      last.broken("upstream closed the connection");
+    }
+  }
+}
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/connection/upstream/UpstreamSettings.java
@@ -0,0 +1,43 @@
+package io.foxtaildoor.connection.upstream;
+
+import io.foxtaildoor.request.admission.AdmissionSettings;
+import io.foxtaildoor.request.idempotency.KeyRegistrySettings;
+import java.time.Duration;
+
+/**
+ * Settings of the passage to the local upstream.
+ *
+ * @param connectTimeout bound for a connection on the own host
+ * @param progressTimeout time without a byte from a running upstream after which it is cut off
+ * @param continueTimeout wait for {@code 100 Continue} before the body is sent anyway
+ * @param idleTimeout time after which an unused connection is closed; below the usual keep-alive
+ *     time of servers, so that connections are rarely closed by the upstream while they are reused
+ * @param drainBound longest wait for requests in flight when the upstream leaves
+ * @param maxRequestBytes largest request body
+ * @param maxAnswerBytes largest response body
+ */
+public record UpstreamSettings(
+    Duration connectTimeout,
+    Duration progressTimeout,
+    Duration continueTimeout,
+    Duration idleTimeout,
+    Duration drainBound,
+    long maxRequestBytes,
+    long maxAnswerBytes,
+    AdmissionSettings admission,
+    KeyRegistrySettings keys) {
+
+  /** Settings for the deployments described in the design page. */
+  public static UpstreamSettings defaults() {
+    return new UpstreamSettings(
+        Duration.ofMillis(500),
+        Duration.ofSeconds(10),
+        Duration.ofSeconds(1),
+        Duration.ofSeconds(4),
+        Duration.ofSeconds(30),
+        1L << 30,
+        1L << 30,
+        AdmissionSettings.defaults(),
+        KeyRegistrySettings.defaults());
+  }
+}
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/connection/upstream/package-info.java
@@ -0,0 +1,2 @@
+/** Passes accepted streams to the local upstream over a pool of HTTP/1.1 connections. */
+package io.foxtaildoor.connection.upstream;
--- a/product/src/main/java/io/foxtaildoor/request/admission/AdmissionQueue.java
+++ b/product/src/main/java/io/foxtaildoor/request/admission/AdmissionQueue.java
@@ -167,6 +167,18 @@
     return true;
   }
 
+  /** Removes all waiting requests. */
+  public synchronized void clear(Consumer<Ticket<T>> removed) {
+    for (TreeSet<Ticket<T>> queue : queues.values()) {
+      while (!queue.isEmpty()) {
+        Ticket<T> ticket = queue.pollFirst();
+        queued--;
+        ticket.end();
+        removed.accept(ticket);
+      }
+    }
+  }
+
   /**
    * Frees the slot of a request; later calls for the same ticket do nothing.
    *
@@ -204,6 +216,11 @@
     return queued == 0 && inFlight == 0;
   }
 
+  /** Whether a request waits. */
+  public synchronized boolean hasQueued() {
+    return queued > 0;
+  }
+
   /** The numbers that are reported to callers' nodes. */
   public synchronized Load load(long nowNanos) {
     return new Load(inFlight, queued, controller.current(nowNanos));
--- a/product/src/main/java/io/foxtaildoor/request/admission/LimitController.java
+++ b/product/src/main/java/io/foxtaildoor/request/admission/LimitController.java
@@ -36,9 +36,11 @@
   }
 
   void configure(UpstreamLimits newLimits) {
-    // More slots are approached by additive increase; fewer take effect at once.
+    boolean sameInstance = newLimits.startedAtNanos() == limits.startedAtNanos();
     limits = newLimits;
-    limit = Math.max(1, Math.min(limit, newLimits.slots()));
+    // Only a new instance starts with all slots, below its cold start. More slots of a running one
+    // are approached by additive increase; fewer take effect at once.
+    limit = sameInstance ? Math.max(1, Math.min(limit, newLimits.slots())) : newLimits.slots();
   }
 
   /** The largest number of requests that may be in flight now. */
