--- /dev/null
+++ b/product/src/test/java/io/foxtaildoor/connection/upstream/ScriptedUpstream.java
@@ -0,0 +1,127 @@
+package io.foxtaildoor.connection.upstream;
+
+import java.io.DataInputStream;
+import java.io.EOFException;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** A small HTTP server whose connections follow a script. */
+final class ScriptedUpstream implements AutoCloseable {
+  private final ServerSocket server;
+  private final Script script;
+  private final List<Socket> sockets = new CopyOnWriteArrayList<>();
+  final AtomicInteger connections = new AtomicInteger();
+  final List<String> heads = new CopyOnWriteArrayList<>();
+
+  /** What one connection does. */
+  @FunctionalInterface
+  interface Script {
+    void run(Connection connection) throws IOException;
+  }
+
+  ScriptedUpstream(Script script) throws IOException {
+    this.script = script;
+    server = new ServerSocket(0, 64, InetAddress.getLoopbackAddress());
+    start(this::acceptAll);
+  }
+
+  InetSocketAddress address() {
+    return (InetSocketAddress) server.getLocalSocketAddress();
+  }
+
+  private static void start(Runnable task) {
+    Thread thread = new Thread(task, "scripted-upstream");
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  private void acceptAll() {
+    try {
+      while (true) {
+        Socket socket = server.accept();
+        sockets.add(socket);
+        int number = connections.incrementAndGet();
+        start(() -> serve(socket, number));
+      }
+    } catch (IOException e) {
+      // The test closed the server.
+      return;
+    }
+  }
+
+  private void serve(Socket socket, int number) {
+    try (socket) {
+      script.run(new Connection(socket, number));
+    } catch (IOException e) {
+      // The other side closed the connection, which ends the script.
+      return;
+    }
+  }
+
+  @Override
+  public void close() throws IOException {
+    server.close();
+    for (Socket socket : sockets) {
+      socket.close();
+    }
+  }
+
+  /** One accepted connection. */
+  final class Connection {
+    final int number;
+    final Socket socket;
+    private final DataInputStream in;
+
+    Connection(Socket socket, int number) throws IOException {
+      this.socket = socket;
+      this.number = number;
+      this.in = new DataInputStream(socket.getInputStream());
+    }
+
+    /** Reads a request head up to the empty line. */
+    String head() throws IOException {
+      StringBuilder head = new StringBuilder();
+      while (head.indexOf("\r\n\r\n") < 0) {
+        int next = in.read();
+        if (next < 0) {
+          throw new EOFException();
+        }
+        head.append((char) next);
+      }
+      heads.add(head.toString());
+      return head.toString();
+    }
+
+    byte[] body(int bytes) throws IOException {
+      byte[] data = new byte[bytes];
+      in.readFully(data);
+      return data;
+    }
+
+    /** Whether the other side closes the connection without another byte. */
+    boolean closedByPeer() throws IOException {
+      return in.read() < 0;
+    }
+
+    void write(String text) throws IOException {
+      write(text.getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    void write(byte[] bytes) throws IOException {
+      socket.getOutputStream().write(bytes);
+      socket.getOutputStream().flush();
+    }
+
+    void reset() throws IOException {
+      socket.setSoLinger(true, 0);
+      socket.close();
+    }
+  }
+}
--- /dev/null
+++ b/product/src/test/java/io/foxtaildoor/connection/upstream/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the passage to the local upstream. */
+package io.foxtaildoor.connection.upstream;
