--- a/product/src/main/java/io/foxtaildoor/connection/link/LinkSettings.java
+++ b/product/src/main/java/io/foxtaildoor/connection/link/LinkSettings.java
@@ -51,4 +51,58 @@
         32,
         1024);
   }
+
+  /** These settings with other heartbeats. */
+  public LinkSettings withPings(Duration interval, Duration timeout) {
+    return new LinkSettings(
+        linksPerNode,
+        maxLinks,
+        maxAccepted,
+        maxStreams,
+        connectTimeout,
+        interval,
+        timeout,
+        idleTimeout,
+        backoffBase,
+        backoffMax,
+        controlDeadline,
+        controlConnections,
+        controlWaiting);
+  }
+
+  /** These settings with other bounds of control calls. */
+  public LinkSettings withControl(Duration deadline, int connections, int waiting) {
+    return new LinkSettings(
+        linksPerNode,
+        maxLinks,
+        maxAccepted,
+        maxStreams,
+        connectTimeout,
+        pingInterval,
+        pingTimeout,
+        idleTimeout,
+        backoffBase,
+        backoffMax,
+        deadline,
+        connections,
+        waiting);
+  }
+
+  /** These settings with another bound and backoff of connection attempts. */
+  public LinkSettings withConnecting(Duration timeout, Duration base, Duration max) {
+    return new LinkSettings(
+        linksPerNode,
+        maxLinks,
+        maxAccepted,
+        maxStreams,
+        timeout,
+        pingInterval,
+        pingTimeout,
+        idleTimeout,
+        base,
+        max,
+        controlDeadline,
+        controlConnections,
+        controlWaiting);
+  }
 }
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/connection/upstream/AnswerFlow.java
@@ -0,0 +1,59 @@
+package io.foxtaildoor.connection.upstream;
+
+import io.foxtaildoor.connection.link.ResponseStream;
+import io.netty.channel.EventLoop;
+
+/**
+ * Stops reading from the upstream while the stream takes no more of the answer. Parts of the answer
+ * pass from the event loop of the server to that of the link, so what is on the way counts too.
+ */
+final class AnswerFlow {
+  /** Answer bytes on the way to the link's event loop at which reading stops. */
+  private static final int UNTAKEN_LIMIT_BYTES = 64 << 10;
+
+  private final UpstreamConnection connection;
+  private final ResponseStream response;
+  private final EventLoop loop;
+  private final Runnable taken;
+  private int untakenBytes;
+
+  /**
+   * Creates the flow of one exchange.
+   *
+   * @param taken runs on the event loop of the server when the link took a part
+   */
+  AnswerFlow(
+      UpstreamConnection connection, ResponseStream response, EventLoop loop, Runnable taken) {
+    this.connection = connection;
+    this.response = response;
+    this.loop = loop;
+    this.taken = taken;
+  }
+
+  /** Counts a part that was given to the stream. */
+  void passed(int bytes) {
+    untakenBytes += bytes;
+    if (!hasRoom()) {
+      connection.read(false);
+    }
+    response.eventLoop().execute(() -> loop.execute(() -> took(bytes)));
+  }
+
+  private void took(int bytes) {
+    untakenBytes -= bytes;
+    taken.run();
+  }
+
+  private boolean hasRoom() {
+    return untakenBytes <= UNTAKEN_LIMIT_BYTES && response.isWritable();
+  }
+
+  /** Reads again when there is room; true when reading was stopped before. */
+  boolean resume() {
+    if (connection.isReading() || !hasRoom()) {
+      return false;
+    }
+    connection.read(true);
+    return true;
+  }
+}
--- a/product/src/main/java/io/foxtaildoor/connection/upstream/Exchange.java
+++ b/product/src/main/java/io/foxtaildoor/connection/upstream/Exchange.java
@@ -27,9 +27,6 @@
  * of the server; the events of the stream are passed to it.
  */
 final class Exchange implements RequestListener, UpstreamConnection.User {
-  /** Answer bytes on the way to the link's event loop at which reading stops. */
-  private static final int UNTAKEN_LIMIT_BYTES = 64 << 10;
-
   private final UpstreamServer server;
   private final RequestStart head;
   private final ResponseStream response;
@@ -50,7 +47,7 @@
   private long answerBytes;
   private long headNanos;
   private int status;
-  private int untakenBytes;
+  private AnswerFlow flow;
   private long progressNanos;
 
   Exchange(UpstreamServer server, RequestStart head, ResponseStream response, long nowNanos) {
@@ -152,6 +149,7 @@
       return;
     }
     connection = ready;
+    flow = new AnswerFlow(ready, response, server.loop(), this::resumeReading);
     connection.begin(this, request, head.getEnd());
   }
 
@@ -267,41 +265,18 @@
       response.send(bytes == 0 ? Unpooled.EMPTY_BUFFER : data.retainedDuplicate(), end);
     }
     if (!end && bytes > 0) {
-      untaken(bytes);
+      flow.passed(bytes);
     }
   }
 
-  /** Counts bytes until the link's event loop has them, and stops reading when it is behind. */
-  private void untaken(int bytes) {
-    untakenBytes += bytes;
-    if (untakenBytes > UNTAKEN_LIMIT_BYTES || !response.isWritable()) {
-      connection.read(false);
-    }
-    response
-        .eventLoop()
-        .execute(
-            () ->
-                server
-                    .loop()
-                    .execute(
-                        () -> {
-                          untakenBytes -= bytes;
-                          resumeReading();
-                        }));
-  }
-
   @Override
   public void writable() {
     server.loop().execute(this::resumeReading);
   }
 
   private void resumeReading() {
-    if (!ended && connection != null && !connection.isReading()) {
-      boolean resumed = untakenBytes <= UNTAKEN_LIMIT_BYTES && response.isWritable();
-      if (resumed) {
-        progressNanos = server.now();
-        connection.read(true);
-      }
+    if (!ended && flow != null && flow.resume()) {
+      progressNanos = server.now();
     }
   }
 
--- a/product/src/test/java/io/foxtaildoor/connection/link/LinkFixture.java
+++ b/product/src/test/java/io/foxtaildoor/connection/link/LinkFixture.java
@@ -39,20 +39,9 @@
   static final long WAIT_SECONDS = 20;
 
   static final LinkSettings SETTINGS =
-      new LinkSettings(
-          1,
-          64,
-          64,
-          512,
-          Duration.ofSeconds(5),
-          Duration.ofSeconds(10),
-          Duration.ofSeconds(20),
-          Duration.ofSeconds(60),
-          Duration.ofMillis(1),
-          Duration.ofMillis(2),
-          Duration.ofSeconds(10),
-          2,
-          8);
+      LinkSettings.defaults()
+          .withPings(Duration.ofSeconds(10), Duration.ofSeconds(20))
+          .withConnecting(Duration.ofSeconds(5), Duration.ofMillis(1), Duration.ofMillis(2));
 
   final EventLoopGroup group = new MultiThreadIoEventLoopGroup(3, NioIoHandler.newFactory());
   final LinkMetrics metrics = new LinkMetrics(new SimpleMeterRegistry());
--- a/product/src/test/java/io/foxtaildoor/connection/link/NettyControlCallerTest.java
+++ b/product/src/test/java/io/foxtaildoor/connection/link/NettyControlCallerTest.java
@@ -56,22 +56,7 @@
   }
 
   private NettyControlCaller caller(Duration deadline) {
-    LinkSettings s = LinkFixture.SETTINGS;
-    LinkSettings settings =
-        new LinkSettings(
-            s.linksPerNode(),
-            s.maxLinks(),
-            s.maxAccepted(),
-            s.maxStreams(),
-            s.connectTimeout(),
-            s.pingInterval(),
-            s.pingTimeout(),
-            s.idleTimeout(),
-            s.backoffBase(),
-            s.backoffMax(),
-            deadline,
-            2,
-            100);
+    LinkSettings settings = LinkFixture.SETTINGS.withControl(deadline, 2, 100);
     return new NettyControlCaller(
         fixture.group, settings, LinkFixture.identity("c"), fixture.metrics, System::nanoTime);
   }
--- a/product/src/test/java/io/foxtaildoor/connection/link/NettyLinkClientTest.java
+++ b/product/src/test/java/io/foxtaildoor/connection/link/NettyLinkClientTest.java
@@ -219,22 +219,8 @@
   /** Guards against streams that wait for ever on a connection that went silent. */
   @Test
   public void silentLinkIsClosedAndReplaced() throws Exception {
-    LinkSettings s = LinkFixture.SETTINGS;
     LinkSettings quick =
-        new LinkSettings(
-            s.linksPerNode(),
-            s.maxLinks(),
-            s.maxAccepted(),
-            s.maxStreams(),
-            s.connectTimeout(),
-            Duration.ofMillis(20),
-            Duration.ofMillis(200),
-            s.idleTimeout(),
-            s.backoffBase(),
-            s.backoffMax(),
-            s.controlDeadline(),
-            s.controlConnections(),
-            s.controlWaiting());
+        LinkFixture.SETTINGS.withPings(Duration.ofMillis(20), Duration.ofMillis(200));
     try (ServerSocket server = new ServerSocket(0, 8, InetAddress.getLoopbackAddress());
         NettyLinkClient client = fixture.client(quick, "test")) {
       InetSocketAddress address = (InetSocketAddress) server.getLocalSocketAddress();
--- a/product/src/test/java/io/foxtaildoor/connection/upstream/UpstreamServerTest.java
+++ b/product/src/test/java/io/foxtaildoor/connection/upstream/UpstreamServerTest.java
@@ -57,6 +57,22 @@
     }
   }
 
+  /** Answers each request once it may go on. */
+  private static Script held(CountDownLatch received, CountDownLatch go) {
+    return connection -> {
+      while (true) {
+        connection.head();
+        received.countDown();
+        try {
+          go.await();
+        } catch (InterruptedException e) {
+          throw new IOException(e);
+        }
+        connection.write(OK);
+      }
+    };
+  }
+
   @DataProvider
   public Object[][] answers() {
     String chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
@@ -435,18 +451,7 @@
   public void drainFinishesWhatRuns() throws Exception {
     CountDownLatch received = new CountDownLatch(1);
     CountDownLatch go = new CountDownLatch(1);
-    Script script =
-        connection -> {
-          connection.head();
-          received.countDown();
-          try {
-            go.await();
-          } catch (InterruptedException e) {
-            throw new IOException(e);
-          }
-          connection.write(OK);
-        };
-    try (ScriptedUpstream upstream = upstream(script)) {
+    try (ScriptedUpstream upstream = upstream(held(received, go))) {
       Call running = fixture.call(head("GET", true));
       assertTrue(received.await(UpstreamFixture.WAIT_SECONDS, TimeUnit.SECONDS));
       CompletableFuture<Boolean> drained = fixture.server.beginDrain(System.nanoTime());
@@ -466,20 +471,7 @@
     CountDownLatch go = new CountDownLatch(1);
     fixture.close();
     fixture = new UpstreamFixture(2, Duration.ofSeconds(20));
-    Script script =
-        connection -> {
-          while (true) {
-            connection.head();
-            received.countDown();
-            try {
-              go.await();
-            } catch (InterruptedException e) {
-              throw new IOException(e);
-            }
-            connection.write(OK);
-          }
-        };
-    try (ScriptedUpstream upstream = upstream(script)) {
+    try (ScriptedUpstream upstream = upstream(held(received, go))) {
       Call[] calls = new Call[6];
       for (int i = 0; i < calls.length; i++) {
         calls[i] = fixture.call(head("GET", true));
