--- a/product/src/test/java/io/foxtaildoor/connection/link/LinkFixture.java
+++ b/product/src/test/java/io/foxtaildoor/connection/link/LinkFixture.java
@@ -8,6 +8,7 @@
 import io.foxtaildoor.process.membership.NodeState;
 import io.foxtaildoor.protocol.Frame;
 import io.foxtaildoor.protocol.LinkPurpose;
+import io.foxtaildoor.protocol.Pong;
 import io.foxtaildoor.protocol.RequestStart;
 import io.foxtaildoor.protocol.ResponseStart;
 import io.foxtaildoor.protocol.StreamFailure;
@@ -38,20 +39,9 @@
   static final long WAIT_SECONDS = 20;
 
   static final LinkSettings SETTINGS =
-      new LinkSettings(
-          1,
-          64,
-          64,
-          512,
-          Duration.ofSeconds(5),
-          Duration.ofMillis(50),
-          Duration.ofSeconds(5),
-          Duration.ofSeconds(60),
-          Duration.ofMillis(1),
-          Duration.ofMillis(2),
-          Duration.ofSeconds(10),
-          2,
-          8);
+      LinkSettings.defaults()
+          .withPings(Duration.ofSeconds(10), Duration.ofSeconds(20))
+          .withConnecting(Duration.ofSeconds(5), Duration.ofMillis(1), Duration.ofMillis(2));
 
   final EventLoopGroup group = new MultiThreadIoEventLoopGroup(3, NioIoHandler.newFactory());
   final LinkMetrics metrics = new LinkMetrics(new SimpleMeterRegistry());
@@ -202,11 +192,16 @@
         if (frame.getBodyCase() != Frame.BodyCase.PING) {
           return frame;
         }
-        long sequence = frame.getPing().getSequence();
-        write(
-            Frame.newBuilder()
-                .setPong(io.foxtaildoor.protocol.Pong.newBuilder().setSequence(sequence))
-                .build());
+        answerPing(frame.getPing().getSequence());
+      }
+    }
+
+    private void answerPing(long sequence) {
+      try {
+        write(Frame.newBuilder().setPong(Pong.newBuilder().setSequence(sequence)).build());
+      } catch (IOException e) {
+        // The other side has closed; frames that it sent before can still be read.
+        return;
       }
     }
 
