--- a/product/src/main/java/io/foxtaildoor/connection/caller/CallerListener.java
+++ b/product/src/main/java/io/foxtaildoor/connection/caller/CallerListener.java
@@ -1,6 +1,8 @@
 package io.foxtaildoor.connection.caller;
 
+import io.foxtaildoor.common.ServiceId;
 import io.foxtaildoor.process.invariant.Invariant;
+import io.foxtaildoor.version.manifest.HeldConfiguration;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
@@ -18,6 +20,7 @@
 import java.net.InetSocketAddress;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 
 /** HTTP/1.1 listener for callers. */
 public final class CallerListener implements AutoCloseable {
@@ -155,6 +158,16 @@
     connections.close().syncUninterruptibly();
   }
 
+  /**
+   * Forgets what is kept about services that a new version no longer has; to be registered as a
+   * listener of the configuration holder.
+   */
+  public void configurationApplied(HeldConfiguration configuration) {
+    Predicate<ServiceId> known = id -> configuration.routes().service(id).isPresent();
+    dependencies.selector().retainServices(known);
+    dependencies.retryBudgets().retainServices(known);
+  }
+
   /** Number of open connections. */
   public int connections() {
     return connections.size();
--- a/product/src/test/java/io/foxtaildoor/connection/caller/CallerFixture.java
+++ b/product/src/test/java/io/foxtaildoor/connection/caller/CallerFixture.java
@@ -1,6 +1,5 @@
 package io.foxtaildoor.connection.caller;
 
-import com.google.protobuf.ByteString;
 import io.foxtaildoor.common.DataCentreId;
 import io.foxtaildoor.common.Digest;
 import io.foxtaildoor.common.NodeId;
@@ -116,10 +115,10 @@
             .addRoutes(route("short", "bookings", true, SHORT_DEADLINE_MILLIS))
             .addRoutes(route("closed", "closed", true, 60_000))
             .build();
-    byte[] content = ByteString.copyFrom(team.toByteArray()).toByteArray();
-    TreeMap<TeamId, Digest> entries = new TreeMap<>();
-    entries.put(new TeamId("bookings-team"), Digest.of(content));
-    return HeldConfiguration.build(Manifest.of(1, entries), Map.of(Digest.of(content), content));
+    byte[] content = team.toByteArray();
+    Digest digest = Digest.of(content);
+    Manifest manifest = Manifest.of(1, new TreeMap<>(Map.of(new TeamId("bookings-team"), digest)));
+    return HeldConfiguration.build(manifest, Map.of(digest, content));
   }
 
   private static ServiceConfiguration service(String id, String caller) {
--- a/product/src/test/java/io/foxtaildoor/connection/caller/FakeLinks.java
+++ b/product/src/test/java/io/foxtaildoor/connection/caller/FakeLinks.java
@@ -14,7 +14,6 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -55,16 +54,14 @@
     final ResponseListener listener;
     private int consumed;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
-    private final CountDownLatch ended = new CountDownLatch(1);
-    private final CountDownLatch cancelled = new CountDownLatch(1);
+    private boolean ended;
+    private boolean cancelled;
 
     Stream(NodeRecord target, RequestStart head, ResponseListener listener) {
       this.target = target;
       this.head = head;
       this.listener = listener;
-      if (head.getEnd()) {
-        ended.countDown();
-      }
+      this.ended = head.getEnd();
     }
 
     @Override
@@ -73,10 +70,8 @@
       data.readBytes(bytes);
       data.release();
       body.writeBytes(bytes);
+      ended |= end;
       notifyAll();
-      if (end) {
-        ended.countDown();
-      }
     }
 
     @Override
@@ -106,13 +101,14 @@
     }
 
     @Override
-    public void cancel(String reason) {
-      cancelled.countDown();
+    public synchronized void cancel(String reason) {
+      cancelled = true;
+      notifyAll();
     }
 
     /** Waits for the whole request body. */
-    byte[] wholeBody() throws InterruptedException {
-      await(ended, "the end of the request body");
+    synchronized byte[] wholeBody() throws InterruptedException {
+      awaitTrue(() -> ended, "the end of the request body");
       return received();
     }
 
@@ -124,14 +120,8 @@
       awaitTrue(() -> body.size() >= count, "bytes of the request body");
     }
 
-    void awaitCancelled() throws InterruptedException {
-      await(cancelled, "the cancellation of the stream");
-    }
-
-    private void await(CountDownLatch latch, String what) throws InterruptedException {
-      if (!latch.await(GUARD_SECONDS, TimeUnit.SECONDS)) {
-        throw new AssertionError("missing: " + what);
-      }
+    synchronized void awaitCancelled() throws InterruptedException {
+      awaitTrue(() -> cancelled, "the cancellation of the stream");
     }
 
     void start(int status, boolean end, String... headers) {
--- a/product/src/test/java/io/foxtaildoor/request/balance/BalanceComparison.java
+++ b/product/src/test/java/io/foxtaildoor/request/balance/BalanceComparison.java
@@ -4,12 +4,13 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
+import java.util.Comparator;
 import java.util.List;
-import java.util.Locale;
 import java.util.PriorityQueue;
+import java.util.Queue;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.function.LongConsumer;
 import org.HdrHistogram.Histogram;
 
 /**
@@ -33,10 +34,13 @@
   private final SplittableRandom random;
   private final List<NodeRecord> nodes = new ArrayList<>();
   private final List<Upstream> upstreams = new ArrayList<>();
-  private final PriorityQueue<Event> events = new PriorityQueue<>();
+  private final List<UpstreamSelector> selectors = new ArrayList<>();
+  private final int[] next = new int[NODES];
+  private final PriorityQueue<Event> events =
+      new PriorityQueue<>(
+          Comparator.comparingLong(Event::atNanos).thenComparingLong(Event::sequence));
   private final Histogram latencies = new Histogram(3);
   private final Policy policy;
-  private final double meanGapNanos;
   private long sequence;
   private long failures;
 
@@ -47,69 +51,92 @@
       nodes.add(Fleet.node(i, Fleet.HOME, i == 1 ? 0 : -RUN_NANOS));
       upstreams.add(new Upstream(i));
     }
-    meanGapNanos = SERVICE_NANOS / (UTILIZATION * Fleet.SLOTS * (instances - 2));
+    for (int i = 0; i < NODES; i++) {
+      selectors.add(new UpstreamSelector(BalanceSettings.defaults(), Fleet.REGION, Fleet.HOME));
+    }
+  }
+
+  private enum Policy {
+    ROUND_ROBIN,
+    LEAST_REPORTED_LOAD,
+    POWER_OF_TWO_CHOICES
   }
 
   /** Prints the table for 5 and 12 instances and three seeds. */
   public static void main(String[] args) {
-    System.out.printf(
-        "%-22s %-9s %4s %9s %9s %9s %9s%n",
-        "policy", "instances", "seed", "requests", "p50 ms", "p99 ms", "failures");
+    System.out.println("policy instances seed requests p50-ms p99-ms failures-%");
     for (int instances : new int[] {5, 12}) {
       for (long seed = 1; seed <= 3; seed++) {
-        run(instances, seed, "round robin", roundRobin());
-        run(instances, seed, "least reported load", leastReported());
-        run(instances, seed, "power of two choices", selector(seed));
+        for (Policy policy : Policy.values()) {
+          BalanceComparison run = new BalanceComparison(instances, seed, policy);
+          run.run();
+          Histogram h = run.latencies;
+          long requests = h.getTotalCount() + run.failures;
+          System.out.printf(
+              "%-20s %2d %d %7d %6.1f %6.1f %6.2f%n",
+              policy,
+              instances,
+              seed,
+              requests,
+              h.getValueAtPercentile(50) / 1e6,
+              h.getValueAtPercentile(99) / 1e6,
+              100.0 * run.failures / requests);
+        }
       }
     }
   }
 
-  private static void run(int instances, long seed, String name, Policy policy) {
-    BalanceComparison comparison = new BalanceComparison(instances, seed, policy);
-    comparison.run();
-    Histogram h = comparison.latencies;
-    System.out.printf(
-        Locale.ROOT,
-        "%-22s %-9d %4d %9d %9.1f %9.1f %8.2f%%%n",
-        name,
-        instances,
-        seed,
-        h.getTotalCount() + comparison.failures,
-        h.getValueAtPercentile(50) / 1e6,
-        h.getValueAtPercentile(99) / 1e6,
-        100.0 * comparison.failures / (h.getTotalCount() + comparison.failures));
-  }
-
   private void run() {
-    for (Upstream upstream : upstreams) {
-      at(REPORT_PERIOD_NANOS, now -> report(upstream, now));
-    }
+    at(REPORT_PERIOD_NANOS, this::report);
     at(0, this::arrive);
     while (!events.isEmpty()) {
       Event event = events.remove();
-      event.action.run(event.atNanos);
+      event.action.accept(event.atNanos);
     }
   }
 
-  private void report(Upstream upstream, long now) {
-    upstream.lastReport = upstream.occupied();
+  private void report(long now) {
+    upstreams.forEach(upstream -> upstream.lastReport = upstream.occupied());
     if (now < RUN_NANOS) {
-      at(now + REPORT_PERIOD_NANOS, next -> report(upstream, next));
+      at(now + REPORT_PERIOD_NANOS, this::report);
     }
   }
 
   private void arrive(long now) {
-    if (now >= RUN_NANOS) {
-      return;
+    if (now < RUN_NANOS) {
+      double capacity = UTILIZATION * Fleet.SLOTS * (nodes.size() - 2);
+      at(now + (long) exponential(SERVICE_NANOS / capacity), this::arrive);
+      Request request = send(random.nextInt(NODES), now);
+      request.upstream.accept(request, now);
     }
-    at(now + (long) exponential(meanGapNanos), this::arrive);
-    int node = random.nextInt(NODES);
-    Request request = policy.send(this, node, now);
-    request.upstream.accept(request, now);
+  }
+
+  private Request send(int node, long now) {
+    if (policy == Policy.ROUND_ROBIN) {
+      return new Request(upstreams.get(next[node]++ % nodes.size()), now, null, null);
+    }
+    if (policy == Policy.LEAST_REPORTED_LOAD) {
+      int offset = random.nextInt(nodes.size());
+      Upstream best = upstreams.get(offset);
+      for (int i = 1; i < nodes.size(); i++) {
+        Upstream other = upstreams.get((offset + i) % nodes.size());
+        best = other.lastReport < best.lastReport ? other : best;
+      }
+      return new Request(best, now, null, null);
+    }
+    UpstreamSelector selector = selectors.get(node);
+    Selection selection =
+        selector.choose(Fleet.SERVICE, nodes, Set.of(), true, now, random).orElseThrow();
+    return new Request(upstreams.get(nodes.indexOf(selection.node())), now, selector, selection);
   }
 
   private void end(Request request, boolean failed, long now) {
-    request.ended.end(request, failed, now);
+    if (request.selection != null) {
+      ReportedLoad load = new ReportedLoad(request.upstream.occupied(), Fleet.SLOTS);
+      request.selector.report(request.selection, load, now);
+      AttemptResult result = failed ? AttemptResult.FAILED : AttemptResult.ANSWERED;
+      request.selector.finish(request.selection, result, now - request.sentNanos, now);
+    }
     if (failed) {
       failures++;
     } else {
@@ -117,7 +144,7 @@
     }
   }
 
-  private void at(long atNanos, Action action) {
+  private void at(long atNanos, LongConsumer action) {
     events.add(new Event(atNanos, sequence++, action));
   }
 
@@ -125,72 +152,15 @@
     return -mean * Math.log(1 - random.nextDouble());
   }
 
-  private static Policy roundRobin() {
-    int[] next = new int[NODES];
-    return (run, node, now) ->
-        new Request(run.upstreams.get(next[node]++ % run.nodes.size()), now, (r, f, t) -> {});
-  }
+  private record Request(
+      Upstream upstream, long sentNanos, UpstreamSelector selector, Selection selection) {}
 
-  private static Policy leastReported() {
-    return (run, node, now) -> {
-      int offset = run.random.nextInt(run.nodes.size());
-      Upstream best = run.upstreams.get(offset);
-      for (int i = 1; i < run.nodes.size(); i++) {
-        Upstream other = run.upstreams.get((offset + i) % run.nodes.size());
-        best = other.lastReport < best.lastReport ? other : best;
-      }
-      return new Request(best, now, (r, f, t) -> {});
-    };
-  }
-
-  private static Policy selector(long seed) {
-    SplittableRandom random = new SplittableRandom(-seed);
-    List<UpstreamSelector> selectors = new ArrayList<>();
-    for (int i = 0; i < NODES; i++) {
-      selectors.add(new UpstreamSelector(BalanceSettings.defaults(), Fleet.REGION, Fleet.HOME));
-    }
-    return (run, node, now) -> {
-      UpstreamSelector selector = selectors.get(node);
-      Selection selection =
-          selector.choose(Fleet.SERVICE, run.nodes, Set.of(), true, now, random).orElseThrow();
-      Upstream upstream = run.upstreams.get(run.nodes.indexOf(selection.node()));
-      return new Request(
-          upstream,
-          now,
-          (request, failed, at) -> {
-            selector.report(selection, new ReportedLoad(upstream.occupied(), Fleet.SLOTS), at);
-            AttemptResult result = failed ? AttemptResult.FAILED : AttemptResult.ANSWERED;
-            selector.finish(selection, result, at - request.sentNanos, at);
-          });
-    };
-  }
-
-  private interface Policy {
-    Request send(BalanceComparison run, int node, long now);
-  }
-
-  private interface Action {
-    void run(long now);
-  }
-
-  private interface Ended {
-    void end(Request request, boolean failed, long now);
-  }
-
-  private record Request(Upstream upstream, long sentNanos, Ended ended) {}
-
-  private record Event(long atNanos, long sequence, Action action) implements Comparable<Event> {
-    @Override
-    public int compareTo(Event other) {
-      int byTime = Long.compare(atNanos, other.atNanos);
-      return byTime != 0 ? byTime : Long.compare(sequence, other.sequence);
-    }
-  }
+  private record Event(long atNanos, long sequence, LongConsumer action) {}
 
   /** An instance with slots and a queue. */
   private final class Upstream {
     private final int number;
-    private final Deque<Request> queue = new ArrayDeque<>();
+    private final Queue<Request> queue = new ArrayDeque<>();
     private int busy;
     private int lastReport;
 
@@ -205,10 +175,10 @@
     void accept(Request request, long now) {
       if (number == 2 && random.nextDouble() < 0.6) {
         at(now + 1_000_000, then -> end(request, true, then));
-        return;
+      } else {
+        queue.add(request);
+        startNext(now);
       }
-      queue.add(request);
-      startNext(now);
     }
 
     private void startNext(long now) {
@@ -216,12 +186,12 @@
         Request request = queue.remove();
         if (now - request.sentNanos > LIMIT_NANOS) {
           end(request, true, now);
-          continue;
+        } else {
+          busy++;
+          boolean slow = number == 0 || (number == 1 && now < COLD_NANOS);
+          long service = (long) exponential(SERVICE_NANOS * (slow ? 4.0 : 1.0));
+          at(now + service, then -> finish(request, then));
         }
-        busy++;
-        boolean slow = number == 0 || (number == 1 && now < COLD_NANOS);
-        long service = (long) exponential(SERVICE_NANOS * (slow ? 4.0 : 1.0));
-        at(now + service, then -> finish(request, then));
       }
     }
 
--- a/product/src/test/java/io/foxtaildoor/request/balance/UpstreamSelectorTest.java
+++ b/product/src/test/java/io/foxtaildoor/request/balance/UpstreamSelectorTest.java
@@ -103,76 +103,65 @@
     assertTrue(warm > DRAWS / 8, "after slow start it got " + warm);
   }
 
-  /** Tests of the ejection of failing instances. */
-  public static final class Ejection {
-    private final UpstreamSelectorTest base = new UpstreamSelectorTest();
-
-    @BeforeMethod
-    public void createSelector() {
-      base.createSelector();
-    }
-
-    /** Guards against an ejected instance that returns at once, never, or with many requests. */
-    @Test
-    public void returnsThroughOneProbeWithBackOff() {
-      List<NodeRecord> nodes = Fleet.warm(4, Fleet.HOME);
-      NodeRecord failing = nodes.get(1);
-      base.fail(nodes, failing, 5, 0);
-      assertEquals(base.selector.ejected(Fleet.SERVICE), 1);
-      assertFalse(base.counts(nodes, SECOND - 1).containsKey(failing.id()));
-      Selection probe = firstSelectionOf(failing, nodes, SECOND);
-      assertTrue(probe.isProbe());
-      assertFalse(base.counts(nodes, SECOND).containsKey(failing.id()), "two probes at once");
-      base.selector.finish(probe, AttemptResult.FAILED, 0, SECOND);
-      assertFalse(base.counts(nodes, 3 * SECOND - 1).containsKey(failing.id()), "no back-off");
-      Selection second = firstSelectionOf(failing, nodes, 3 * SECOND);
-      base.selector.finish(second, AttemptResult.ANSWERED, MILLI, 3 * SECOND);
-      assertEquals(base.selector.ejected(Fleet.SERVICE), 0);
-    }
+  /** Guards against an ejected instance that returns at once, never, or with many requests. */
+  @Test
+  public void returnsThroughOneProbeWithBackOff() {
+    List<NodeRecord> nodes = Fleet.warm(4, Fleet.HOME);
+    NodeRecord failing = nodes.get(1);
+    fail(nodes, failing, 5, 0);
+    assertEquals(selector.ejected(Fleet.SERVICE), 1);
+    assertFalse(counts(nodes, SECOND - 1).containsKey(failing.id()));
+    Selection probe = firstSelectionOf(failing, nodes, SECOND);
+    assertTrue(probe.isProbe());
+    assertFalse(counts(nodes, SECOND).containsKey(failing.id()), "two probes at once");
+    selector.finish(probe, AttemptResult.FAILED, 0, SECOND);
+    assertFalse(counts(nodes, 3 * SECOND - 1).containsKey(failing.id()), "no back-off");
+    Selection second = firstSelectionOf(failing, nodes, 3 * SECOND);
+    selector.finish(second, AttemptResult.ANSWERED, MILLI, 3 * SECOND);
+    assertEquals(selector.ejected(Fleet.SERVICE), 0);
+  }
 
-    private Selection firstSelectionOf(NodeRecord node, List<NodeRecord> nodes, long now) {
-      for (int i = 0; i < 100; i++) {
-        Selection selection = base.choose(nodes, now);
-        if (selection.node().equals(node)) {
-          return selection;
-        }
-        base.selector.finish(selection, AttemptResult.ABANDONED, 0, now);
+  private Selection firstSelectionOf(NodeRecord node, List<NodeRecord> nodes, long now) {
+    for (int i = 0; i < 100; i++) {
+      Selection selection = choose(nodes, now);
+      if (selection.node().equals(node)) {
+        return selection;
       }
-      throw new AssertionError("never probed");
+      selector.finish(selection, AttemptResult.ABANDONED, 0, now);
     }
+    throw new AssertionError("never probed");
+  }
 
-    /** Guards against a service without instances when all of them fail, for 1 to 12 instances. */
-    @Test
-    public void ejectsAtMostHalfAndNeverEmptiesAService() {
-      for (int count = 1; count <= 12; count++) {
-        UpstreamSelectorTest test = new UpstreamSelectorTest();
-        test.createSelector();
-        List<NodeRecord> nodes = Fleet.warm(count, Fleet.HOME);
-        nodes.forEach(node -> test.fail(nodes, node, 50, 0));
-        assertEquals(test.selector.ejected(Fleet.SERVICE), count / 2);
-        Set<NodeId> tried = new HashSet<>();
-        for (int i = 0; i < count; i++) {
-          Selection selection =
-              test.selector.choose(Fleet.SERVICE, nodes, tried, true, 1, test.random).orElseThrow();
-          assertTrue(tried.add(selection.node().id()), "tried twice");
-        }
-        assertTrue(
-            test.selector.choose(Fleet.SERVICE, nodes, tried, true, 1, test.random).isEmpty());
+  /** Guards against a service without instances when all of them fail, for 1 to 12 instances. */
+  @Test
+  public void ejectsAtMostHalfAndNeverEmptiesAService() {
+    for (int count = 1; count <= 12; count++) {
+      UpstreamSelectorTest test = new UpstreamSelectorTest();
+      test.createSelector();
+      List<NodeRecord> nodes = Fleet.warm(count, Fleet.HOME);
+      nodes.forEach(node -> test.fail(nodes, node, 50, 0));
+      assertEquals(test.selector.ejected(Fleet.SERVICE), count / 2);
+      Set<NodeId> tried = new HashSet<>();
+      for (int i = 0; i < count; i++) {
+        Selection selection =
+            test.selector.choose(Fleet.SERVICE, nodes, tried, true, 1, test.random).orElseThrow();
+        assertTrue(tried.add(selection.node().id()), "tried twice");
       }
+      assertTrue(test.selector.choose(Fleet.SERVICE, nodes, tried, true, 1, test.random).isEmpty());
     }
+  }
 
-    /** Guards against state of vanished nodes that is kept, or that takes late results. */
-    @Test
-    public void vanishedNodesAreForgotten() {
-      List<NodeRecord> nodes = Fleet.warm(6, Fleet.HOME);
-      Selection late = base.choose(nodes, 0);
-      base.fail(nodes, nodes.get(5), 5, 0);
-      List<NodeRecord> left = nodes.subList(0, 2);
-      base.choose(left, 0);
-      base.selector.finish(late, AttemptResult.FAILED, 0, 0);
-      assertEquals(base.selector.instances(Fleet.SERVICE), 2);
-      assertEquals(base.selector.ejected(Fleet.SERVICE), 0);
-    }
+  /** Guards against state of vanished nodes that is kept, or that takes late results. */
+  @Test
+  public void vanishedNodesAreForgotten() {
+    List<NodeRecord> nodes = Fleet.warm(6, Fleet.HOME);
+    Selection late = choose(nodes, 0);
+    fail(nodes, nodes.get(5), 5, 0);
+    List<NodeRecord> left = nodes.subList(0, 2);
+    choose(left, 0);
+    selector.finish(late, AttemptResult.FAILED, 0, 0);
+    assertEquals(selector.instances(Fleet.SERVICE), 2);
+    assertEquals(selector.ejected(Fleet.SERVICE), 0);
   }
 
   /** Guards against keys that move although their instance stays. */
--- a/standins/src/test/java/io/foxtaildoor/standins/upstream/UpstreamStandInTest.java
+++ b/standins/src/test/java/io/foxtaildoor/standins/upstream/UpstreamStandInTest.java
@@ -72,11 +72,10 @@
     assertEquals(send(control).statusCode(), 200);
   }
 
-  private void awaitTotal(String name, int count) throws Exception {
+  private void awaitCount(String path, String name, int count) throws Exception {
     long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(GUARD_SECONDS);
-    while (json("/standin/executions").get(name).asInt() < count) {
+    while (json(path).get(name).asInt() < count) {
       assertTrue(System.nanoTime() < end, "no " + name);
-      Thread.sleep(5);
     }
   }
 
@@ -109,14 +108,11 @@
     for (int i = 0; i < 3; i++) {
       hanging.add(client.sendAsync(request("/w").build(), BodyHandlers.ofString()));
     }
-    long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(GUARD_SECONDS);
-    while (json("/load").get("queued").asInt() < 1) {
-      assertTrue(System.nanoTime() < end, "nothing queued");
-    }
+    awaitCount("/load", "queued", 1);
     control("{}");
     assertEquals(send(request("/w")).statusCode(), 503);
     hanging.forEach(future -> future.cancel(true));
-    awaitTotal("cancelled", 3);
+    awaitCount("/standin/executions", "cancelled", 3);
     assertEquals(send(request("/w")).statusCode(), 200);
   }
 
