Show the observed state of instances for a status page

Cause: operators could not see why an instance gets no requests. Change: UpstreamSelector.status lists in flight, latency, occupancy, share and ejection of each instance; it replaces two counters that only tests used. Conclusion: the tests check the same counts through the list.

--- a/product/src/main/java/io/foxtaildoor/request/balance/InstanceState.java
+++ b/product/src/main/java/io/foxtaildoor/request/balance/InstanceState.java
@@ -2,6 +2,7 @@
 
 import io.foxtaildoor.process.membership.NodeRecord;
 import io.foxtaildoor.process.membership.UpstreamAnnouncement;
+import java.time.Duration;
 
 /** What this node observed of one instance; guarded by the lock of its service. */
 final class InstanceState {
@@ -115,6 +116,17 @@
     return Math.max(0, 1 - age / settings.reportLifetime().toNanos());
   }
 
+  InstanceStatus status(double meanNanos, long nowNanos) {
+    return new InstanceStatus(
+        node.id(),
+        inFlight,
+        Duration.ofNanos((long) latency(meanNanos, nowNanos)),
+        occupancy(nowNanos),
+        share(nowNanos),
+        failuresInRow,
+        ejected);
+  }
+
   void sent() {
     inFlight++;
   }
--- a/product/src/main/java/io/foxtaildoor/request/balance/ServiceBalance.java
+++ b/product/src/main/java/io/foxtaildoor/request/balance/ServiceBalance.java
@@ -5,6 +5,7 @@
 import io.foxtaildoor.common.RegionId;
 import io.foxtaildoor.process.membership.NodeRecord;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -95,16 +96,16 @@
     }
   }
 
-  synchronized int ejected() {
-    return (int) instances.values().stream().filter(InstanceState::isEjected).count();
-  }
-
-  synchronized int size() {
-    return instances.size();
+  synchronized List<InstanceStatus> status(long nowNanos) {
+    return instances.values().stream()
+        .map(instance -> instance.status(meanNanos, nowNanos))
+        .sorted(Comparator.comparing(InstanceStatus::node))
+        .toList();
   }
 
   private boolean mayEject() {
-    return 2 * (ejected() + 1) <= instances.size();
+    long ejected = instances.values().stream().filter(InstanceState::isEjected).count();
+    return 2 * (ejected + 1) <= instances.size();
   }
 
   private void addToMean(long latencyNanos) {
--- a/product/src/main/java/io/foxtaildoor/request/balance/UpstreamSelector.java
+++ b/product/src/main/java/io/foxtaildoor/request/balance/UpstreamSelector.java
@@ -78,16 +78,10 @@
     services.keySet().removeIf(known.negate());
   }
 
-  /** Number of instances of a service that are ejected at present. */
-  public int ejected(ServiceId service) {
+  /** What is kept about the instances of a service, in the order of their ids. */
+  public List<InstanceStatus> status(ServiceId service, long nowNanos) {
     ServiceBalance balance = services.get(service);
-    return balance == null ? 0 : balance.ejected();
-  }
-
-  /** Number of instances of a service about which state is kept. */
-  public int instances(ServiceId service) {
-    ServiceBalance balance = services.get(service);
-    return balance == null ? 0 : balance.size();
+    return balance == null ? List.of() : balance.status(nowNanos);
   }
 
   private ServiceBalance balance(ServiceId service) {
--- a/product/src/test/java/io/foxtaildoor/request/balance/UpstreamSelectorTest.java
+++ b/product/src/test/java/io/foxtaildoor/request/balance/UpstreamSelectorTest.java
@@ -47,6 +47,10 @@
     return counts;
   }
 
+  private long ejected() {
+    return selector.status(Fleet.SERVICE, 0).stream().filter(InstanceStatus::ejected).count();
+  }
+
   private void fail(List<NodeRecord> nodes, NodeRecord node, int times, long now) {
     for (int i = 0; i < times; i++) {
       Selection selection = selector.select(Fleet.SERVICE, nodes, node.id(), now).orElseThrow();
@@ -72,6 +76,9 @@
     List<NodeRecord> nodes = Fleet.warm(2, Fleet.HOME);
     Selection selection = selector.select(Fleet.SERVICE, nodes, nodes.get(0).id(), 0).orElseThrow();
     selector.report(selection, new ReportedLoad(40, 9), 0);
+    InstanceStatus status = selector.status(Fleet.SERVICE, 0).get(0);
+    assertEquals(status.inFlight(), 1);
+    assertEquals(status.occupancy(), 40.0 / 9);
     selector.finish(selection, AttemptResult.ABANDONED, 0, 0);
     assertFalse(counts(nodes, 1).containsKey(nodes.get(0).id()), "a full instance got work");
     int later = counts(nodes, SECOND).getOrDefault(nodes.get(0).id(), 0);
@@ -109,7 +116,7 @@
     List<NodeRecord> nodes = Fleet.warm(4, Fleet.HOME);
     NodeRecord failing = nodes.get(1);
     fail(nodes, failing, 5, 0);
-    assertEquals(selector.ejected(Fleet.SERVICE), 1);
+    assertEquals(ejected(), 1);
     assertFalse(counts(nodes, SECOND - 1).containsKey(failing.id()));
     Selection probe = firstSelectionOf(failing, nodes, SECOND);
     assertTrue(probe.isProbe());
@@ -118,7 +125,7 @@
     assertFalse(counts(nodes, 3 * SECOND - 1).containsKey(failing.id()), "no back-off");
     Selection second = firstSelectionOf(failing, nodes, 3 * SECOND);
     selector.finish(second, AttemptResult.ANSWERED, MILLI, 3 * SECOND);
-    assertEquals(selector.ejected(Fleet.SERVICE), 0);
+    assertEquals(ejected(), 0);
   }
 
   private Selection firstSelectionOf(NodeRecord node, List<NodeRecord> nodes, long now) {
@@ -140,7 +147,7 @@
       test.createSelector();
       List<NodeRecord> nodes = Fleet.warm(count, Fleet.HOME);
       nodes.forEach(node -> test.fail(nodes, node, 50, 0));
-      assertEquals(test.selector.ejected(Fleet.SERVICE), count / 2);
+      assertEquals(test.ejected(), count / 2);
       Set<NodeId> tried = new HashSet<>();
       for (int i = 0; i < count; i++) {
         Selection selection =
@@ -160,8 +167,8 @@
     List<NodeRecord> left = nodes.subList(0, 2);
     choose(left, 0);
     selector.finish(late, AttemptResult.FAILED, 0, 0);
-    assertEquals(selector.instances(Fleet.SERVICE), 2);
-    assertEquals(selector.ejected(Fleet.SERVICE), 0);
+    assertEquals(selector.status(Fleet.SERVICE, 0).size(), 2);
+    assertEquals(ejected(), 0);
   }
 
   /** Guards against keys that move although their instance stays. */
