Run the reader election on its own thread after the node has joined

Cause: applying a version takes tens of milliseconds, which an event loop of requests must not wait for; a node must join before it becomes a candidate. Change: ControlPlane uses ReaderService on a control thread, started when the node has joined or after 5 s.

--- a/product/src/main/java/io/foxtaildoor/process/node/Administration.java
+++ b/product/src/main/java/io/foxtaildoor/process/node/Administration.java
@@ -12,6 +12,7 @@
 import io.foxtaildoor.version.approval.Operator;
 import io.foxtaildoor.version.approval.OperatorResult;
 import io.foxtaildoor.version.manifest.HeldConfiguration;
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import io.netty.channel.EventLoopGroup;
 import java.time.Duration;
 import java.util.concurrent.ExecutorService;
@@ -34,7 +35,8 @@
             new ModuleSettings(settings).platform(),
             group,
             System::nanoTime,
-            EventLoops.random())) {
+            EventLoops.random(),
+            new SimpleMeterRegistry())) {
       return create(client.interactive(), group, worker, operator, tokenHash);
     } finally {
       worker.shutdown();
--- a/product/src/main/java/io/foxtaildoor/process/node/ControlPlane.java
+++ b/product/src/main/java/io/foxtaildoor/process/node/ControlPlane.java
@@ -5,8 +5,7 @@
 import static io.foxtaildoor.process.settings.NodeSettings.DATA_CENTRE;
 import static io.foxtaildoor.process.settings.NodeSettings.REGION;
 
-import io.foxtaildoor.common.DataCentreId;
-import io.foxtaildoor.common.NodeId;
+import io.foxtaildoor.common.TaskScheduler;
 import io.foxtaildoor.connection.link.ControlHandler;
 import io.foxtaildoor.connection.link.LinkIdentity;
 import io.foxtaildoor.connection.link.LinkMetrics;
@@ -17,21 +16,22 @@
 import io.foxtaildoor.process.membership.NodeRecord;
 import io.foxtaildoor.process.membership.NodeState;
 import io.foxtaildoor.process.membership.NodeStatus;
-import io.foxtaildoor.process.platform.ConfigurationReader;
 import io.foxtaildoor.process.platform.ContactDirectory;
 import io.foxtaildoor.process.platform.HttpPlatformClient;
-import io.foxtaildoor.process.platform.ReaderElection;
-import io.foxtaildoor.process.platform.ReaderLeaseKeeper;
+import io.foxtaildoor.process.platform.ReaderService;
 import io.foxtaildoor.process.platform.ReaderSettings;
 import io.foxtaildoor.process.settings.Settings;
 import io.foxtaildoor.protocol.Frame;
 import io.foxtaildoor.version.distribution.ConfigurationDistributor;
 import io.foxtaildoor.version.manifest.ConfigurationHolder;
+import io.netty.util.concurrent.DefaultEventExecutor;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import io.netty.util.concurrent.EventExecutor;
 import java.net.InetSocketAddress;
 import java.time.Duration;
-import java.util.Collection;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import java.util.stream.Stream;
 
@@ -40,6 +40,9 @@
   /** Time between looks at the platform's contacts while the node knows no other node. */
   private static final Duration CONTACT_INTERVAL = Duration.ofSeconds(15);
 
+  /** Time after which a node that has not joined reads the platform nevertheless. */
+  private static final Duration JOIN_LIMIT = Duration.ofSeconds(5);
+
   private final NodeContext context;
   private final LinkIdentity identity;
   private final NettyControlCaller caller;
@@ -47,8 +50,8 @@
   private final ConfigurationHolder holder;
   private final ConfigurationDistributor distributor;
   private final Membership membership;
-  private final ReaderLeaseKeeper lease;
-  private final ConfigurationReader reader;
+  private final ReaderService readers;
+  private final EventExecutor controlThread;
   private final ContactDirectory contacts;
   private volatile boolean stopping;
 
@@ -66,7 +69,13 @@
             context.group(), LinkSettings.defaults(), identity, linkMetrics, context.clock());
     platform =
         new HttpPlatformClient(
-            modules.platform(), context.group(), context.clock(), context.random());
+            modules.platform(),
+            context.group(),
+            context.clock(),
+            context.random(),
+            context.registry());
+    controlThread = new DefaultEventExecutor(new DefaultThreadFactory("control"));
+    TaskScheduler control = TaskScheduler.on(controlThread);
     holder = new ConfigurationHolder(context.invariants());
     distributor =
         new ConfigurationDistributor(
@@ -74,7 +83,7 @@
             holder,
             caller,
             (stamp, fanout) -> membership().sendNotices(stamp, fanout),
-            context.scheduler(),
+            control,
             context.clock(),
             context.random(),
             context.registry());
@@ -89,29 +98,13 @@
             new MembershipCallbacks(
                 () -> holder.current().stamp(), distributor::heard, this::status));
     ReaderSettings readerSettings = modules.reader();
-    DataCentreId dataCentre = context.settings().get(DATA_CENTRE);
-    lease =
-        new ReaderLeaseKeeper(
-            new ReaderElection(
-                context.nodeId(),
-                dataCentre,
-                readerSettings,
-                context.clock().getAsLong(),
-                context.random()),
-            platform,
-            this::aliveInDataCentre,
-            context.scheduler(),
-            context.clock());
-    reader =
-        new ConfigurationReader(
-            dataCentre,
-            peerAddress,
+    readers =
+        new ReaderService(
+            membership,
             readerSettings,
             platform,
-            platform.partFetches(),
-            lease::isReader,
             distributor,
-            context.scheduler(),
+            control,
             context.clock(),
             context.random());
     contacts = new ContactDirectory(platform, readerSettings.contacts());
@@ -153,26 +146,26 @@
                     holder.current().stamp(), 0, "", context.invariants().totalBreaches()));
   }
 
-  private Collection<NodeId> aliveInDataCentre() {
-    DataCentreId dataCentre = context.settings().get(DATA_CENTRE);
-    return membership.nodes().stream()
-        .filter(node -> node.dataCentre().equals(dataCentre))
-        .filter(node -> node.state().acceptsWork())
-        .map(NodeRecord::id)
-        .toList();
-  }
-
   /** Starts everything; the node begins to join. */
   void start() {
     membership.setContacts(context.settings().get(CONTACTS));
     membership.start();
     distributor.start();
-    lease.start();
-    reader.start();
+    // A node whose contacts are all gone must still be able to read the platform.
+    membership
+        .joined()
+        .completeOnTimeout(null, JOIN_LIMIT.toMillis(), TimeUnit.MILLISECONDS)
+        .thenRunAsync(this::startReading, controlThread);
     long delay = context.random().nextLong(CONTACT_INTERVAL.toNanos());
     context.scheduler().schedule(delay, this::refreshContacts);
   }
 
+  private void startReading() {
+    if (!stopping) {
+      readers.start();
+    }
+  }
+
   /**
    * Adds the platform's contacts to those of the settings while the node knows no other node, so
    * that either source alone is enough to join.
@@ -228,8 +221,7 @@
   /** Stops reading the platform and gives the lease back. */
   void stopReading() {
     stopping = true;
-    reader.close();
-    lease.close();
+    controlThread.submit(readers::close).awaitUninterruptibly();
   }
 
   /** Announces that the node has left and closes all connections. */
@@ -239,5 +231,6 @@
     distributor.close();
     caller.close();
     platform.close();
+    controlThread.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
   }
 }
