--- a/product/src/main/java/io/foxtaildoor/process/membership/FleetState.java
+++ b/product/src/main/java/io/foxtaildoor/process/membership/FleetState.java
@@ -79,11 +79,11 @@
   }
 
   /** Returns the record of a node that should be told that it is suspected or dead, or null. */
-  NodeRecord accusation(NodeId id) {
+  NodeRecord suspectedOrDead(NodeId id) {
     NodeRecord record = table.record(id);
-    boolean accused =
+    boolean notified =
         record != null && (record.state() == NodeState.SUSPECT || record.state() == NodeState.DEAD);
-    return accused ? record : null;
+    return notified ? record : null;
   }
 
   /** Returns the live node at an address, or null. */
@@ -137,7 +137,7 @@
     }
     boolean negative = record.state() == NodeState.SUSPECT || record.state() == NodeState.DEAD;
     if (negative && (Records.isLive(member.record()) || record.state() == NodeState.SUSPECT)) {
-      return mergeAccusation(member, record, source, nowNanos);
+      return mergeSuspicion(member, record, source, nowNanos);
     }
     NodeRecord former = member.record();
     replace(member, record, nowNanos);
@@ -160,7 +160,7 @@
       return;
     }
     counters.increment(Counter.SUSPICIONS);
-    accuse(member, member.record(), nowNanos);
+    startSuspicion(member, member.record(), nowNanos);
   }
 
   /** Ends the suspicion of a leaving node that answered; its state leaves nothing to refute. */
@@ -265,12 +265,12 @@
       }
       return false;
     }
-    boolean doubtful = record.state() == NodeState.SUSPECT;
-    NodeRecord added = doubtful ? Records.withState(record, NodeState.ALIVE) : record;
+    boolean suspected = record.state() == NodeState.SUSPECT;
+    NodeRecord added = suspected ? Records.withState(record, NodeState.ALIVE) : record;
     Member member = table.add(added);
     started(member, null, nowNanos);
-    if (doubtful && Records.isLive(member.record())) {
-      return mergeAccusation(member, record, source, nowNanos) || source == Source.EXCHANGE;
+    if (suspected && Records.isLive(member.record())) {
+      return mergeSuspicion(member, record, source, nowNanos) || source == Source.EXCHANGE;
     }
     if (source == Source.GOSSIP) {
       passOn(added, member.record());
@@ -278,11 +278,11 @@
     return true;
   }
 
-  private boolean mergeAccusation(Member member, NodeRecord record, Source source, long nowNanos) {
+  private boolean mergeSuspicion(Member member, NodeRecord record, Source source, long nowNanos) {
     if (source == Source.GOSSIP) {
       boolean changes = !member.isSuspected() || isLaterIncarnation(record, member);
       if (changes) {
-        accuse(member, record, nowNanos);
+        startSuspicion(member, record, nowNanos);
       }
       return changes;
     }
@@ -298,10 +298,10 @@
     return record.incarnation() > member.record().incarnation();
   }
 
-  private void accuse(Member member, NodeRecord accusation, long nowNanos) {
+  private void startSuspicion(Member member, NodeRecord heard, long nowNanos) {
     boolean leaving = member.record().state() == NodeState.LEAVING;
     NodeState state = leaving ? NodeState.LEAVING : NodeState.SUSPECT;
-    NodeRecord suspect = Records.withState(accusation, state);
+    NodeRecord suspect = Records.withState(heard, state);
     if (Records.isNewer(suspect, member.record())) {
       replace(member, suspect, nowNanos);
       queue.add(suspect);
--- a/product/src/main/java/io/foxtaildoor/process/membership/Prober.java
+++ b/product/src/main/java/io/foxtaildoor/process/membership/Prober.java
@@ -120,7 +120,7 @@
   /** Answers a probe. */
   void onProbe(InetSocketAddress from, NodeId sender, Probe probe, boolean refuted, long nowNanos) {
     List<NodeRecord> first = new ArrayList<>();
-    addIfPresent(first, fleet.accusation(sender));
+    addIfPresent(first, fleet.suspectedOrDead(sender));
     boolean meant = probe.getTarget().equals(local.record().id().value());
     if (refuted || !meant || fleet.liveRecord(sender) == null) {
       first.add(local.record());
@@ -218,7 +218,7 @@
       first.add(local.record());
     } else {
       probe.setTarget(attempt.target.id().value());
-      addIfPresent(first, fleet.accusation(attempt.target.id()));
+      addIfPresent(first, fleet.suspectedOrDead(attempt.target.id()));
     }
     Datagram.Builder datagram = outbox.datagram().setProbe(probe);
     outbox.send(attempt.address, datagram, first, nowNanos);
--- a/product/src/test/java/io/foxtaildoor/process/membership/SwimCoreTest.java
+++ b/product/src/test/java/io/foxtaildoor/process/membership/SwimCoreTest.java
@@ -102,7 +102,7 @@
 
     /** Guards against joins that fail while many restart, and former ids that remain. */
     @Test
-    public void herdRestartConverges() {
+    public void massRestartConverges() {
       List<Node> fleet = new ArrayList<>();
       FakeNetwork network = joined(5, 60, fleet);
       for (int host = 0; host < 60; host += 2) {
