Refuse early under reserved shares and accept renewals

An urgent request in an urgent flood was admitted although the reserved shares of the lower ranks left it no slot, and then left its queue near its deadline as EXPIRED, which is never retried. The estimate now subtracts the shares that lower ranks use, and a request that leaves its queue before its deadline is OVERLOADED, which another instance may run. A renewed announcement of the same instance no longer replaces the pool or ends a drain. Answers that precede their request are refused.

--- a/product/src/main/java/io/foxtaildoor/connection/link/AbstractLink.java
+++ b/product/src/main/java/io/foxtaildoor/connection/link/AbstractLink.java
@@ -41,7 +41,7 @@
 
   final LinkContext shared;
   private State state = State.HANDSHAKE;
-  private ChannelHandlerContext context;
+  private volatile ChannelHandlerContext context;
   private Future<?> timer;
   private String closeReason = "connection closed by the other side";
   private long pingSequence;
--- a/product/src/main/java/io/foxtaildoor/connection/upstream/Exchange.java
+++ b/product/src/main/java/io/foxtaildoor/connection/upstream/Exchange.java
@@ -231,7 +231,10 @@
   @Override
   public void answerHead(HttpResponse answer) {
     progressNanos = server.now();
-    if (answer.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
+    if (handOvers == 0) {
+      // An answer before any byte of the request belongs to another exchange.
+      fail(ErrorKind.BAD_UPSTREAM_ANSWER, "answer without a request");
+    } else if (answer.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
       fail(ErrorKind.BAD_UPSTREAM_ANSWER, "upstream switched protocols without being asked");
     } else if (answer.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
       if (answer.status().equals(HttpResponseStatus.CONTINUE)) {
--- a/product/src/main/java/io/foxtaildoor/connection/upstream/UpstreamPool.java
+++ b/product/src/main/java/io/foxtaildoor/connection/upstream/UpstreamPool.java
@@ -44,6 +44,10 @@
     this.clock = clock;
   }
 
+  InetSocketAddress address() {
+    return address;
+  }
+
   String authority() {
     return address.getHostString() + ":" + address.getPort();
   }
--- a/product/src/main/java/io/foxtaildoor/connection/upstream/UpstreamServer.java
+++ b/product/src/main/java/io/foxtaildoor/connection/upstream/UpstreamServer.java
@@ -99,21 +99,37 @@
         loop.scheduleWithFixedDelay(this::check, CHECK_MILLIS, CHECK_MILLIS, TimeUnit.MILLISECONDS);
   }
 
-  /** Takes an upstream into use; one at another address or start replaces the former. */
+  /**
+   * Takes an upstream into use. One at another address or with another start replaces the former
+   * and ends its drain; a renewal of the present one only updates its slots.
+   */
   public void attach(InetSocketAddress address, UpstreamAnnouncement announcement) {
     loop.execute(
         () -> {
-          closePool();
+          if (!renews(address, announcement)) {
+            replace(address);
+          }
           announced = announcement;
-          pool = new UpstreamPool(loop, address, settings, clock);
           configured = null;
-          draining = false;
-          drained.complete(exchanges.isEmpty());
-          drained = new CompletableFuture<>();
-          admission.endDrain();
         });
   }
 
+  private boolean renews(InetSocketAddress address, UpstreamAnnouncement announcement) {
+    return announced != null
+        && pool.address().equals(address)
+        && announced.service().equals(announcement.service())
+        && announced.startedAtNanos() == announcement.startedAtNanos();
+  }
+
+  private void replace(InetSocketAddress address) {
+    closePool();
+    pool = new UpstreamPool(loop, address, settings, clock);
+    draining = false;
+    drained.complete(exchanges.isEmpty());
+    drained = new CompletableFuture<>();
+    admission.endDrain();
+  }
+
   /** The upstream is gone: what is new is refused; what runs goes on until it ends or breaks. */
   public void detach() {
     loop.execute(
@@ -262,8 +278,14 @@
   }
 
   private Optional<Ticket<Exchange>> poll() {
-    return admission.poll(
-        now(), late -> late.request().fail(ErrorKind.EXPIRED, "deadline is too near"));
+    return admission.poll(now(), this::tooLate);
+  }
+
+  /** A request left its queue: past its deadline, or while another instance may still be free. */
+  private void tooLate(Ticket<Exchange> late) {
+    boolean passed = late.deadlineNanos() - now() <= 0;
+    late.request()
+        .fail(passed ? ErrorKind.EXPIRED : ErrorKind.OVERLOADED, "deadline is too near to start");
   }
 
   /** An exchange ended and gave back its slot. */
--- a/product/src/main/java/io/foxtaildoor/request/admission/AdmissionQueue.java
+++ b/product/src/main/java/io/foxtaildoor/request/admission/AdmissionQueue.java
@@ -15,6 +15,9 @@
  * and has work waiting, else to the highest waiting rank; within a rank to the earliest deadline.
  */
 public final class AdmissionQueue<T> {
+  /** Least share that an estimate assumes, so that it stays finite when other ranks use all. */
+  private static final double MIN_SHARE = 0.01;
+
   private final AdmissionSettings settings;
   private final LimitController controller;
   private final ServiceTimes times = new ServiceTimes();
@@ -76,22 +79,28 @@
     int limit = controller.current(nowNanos);
     Rank rank = ticket.rank();
     int higherWaiting = 0;
-    double higherShare = 0;
+    double left = 1;
     for (Map.Entry<Rank, TreeSet<Ticket<T>>> other : queues.entrySet()) {
-      if (other.getKey().compareTo(rank) < 0) {
+      double recent = shares.recentShare(other.getKey());
+      int order = other.getKey().compareTo(rank);
+      if (order < 0) {
         higherWaiting += other.getValue().size();
-        higherShare += shares.recentShare(other.getKey());
+        left -= recent;
+      } else if (order > 0) {
+        // A lower rank keeps its reserved share as far as it uses it.
+        left -= Math.min(recent, limits.share(other.getKey()));
       }
     }
     int before = queues.get(rank).headSet(ticket).size();
     if (inFlight + higherWaiting + before < limit) {
       return 0;
     }
-    double share = Math.max(Math.max(limits.share(ticket.rank()), 1 - higherShare), 0.01);
+    double reserved = limits.share(rank);
+    double share = Math.max(Math.max(reserved, left), MIN_SHARE);
     double own = (before + 1) * times.overall() / (limit * share);
     double higher = higherWaiting * times.overall() / limit;
     // A reserved share holds whatever the higher ranks do, so their queues do not add to its wait.
-    return limits.share(ticket.rank()) >= 1 - higherShare ? own : own + higher;
+    return reserved >= left ? own : own + higher;
   }
 
   /**
--- a/product/src/test/java/io/foxtaildoor/connection/upstream/UpstreamFixture.java
+++ b/product/src/test/java/io/foxtaildoor/connection/upstream/UpstreamFixture.java
@@ -42,6 +42,7 @@
   final EventLoopGroup group = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
   final Invariants invariants = new Invariants((invariant, detail) -> {});
   final UpstreamServer server;
+  private final long startedAt = System.nanoTime();
   volatile Service service;
 
   UpstreamFixture(int slots, Duration progressTimeout) {
@@ -69,7 +70,7 @@
   }
 
   void attach(InetSocketAddress address) {
-    server.attach(address, new UpstreamAnnouncement(SERVICE, 0, System.nanoTime()));
+    server.attach(address, new UpstreamAnnouncement(SERVICE, 0, startedAt));
   }
 
   static RequestStart.Builder head(String method, boolean end) {
--- a/product/src/test/java/io/foxtaildoor/connection/upstream/UpstreamServerTest.java
+++ b/product/src/test/java/io/foxtaildoor/connection/upstream/UpstreamServerTest.java
@@ -80,6 +80,9 @@
       {"GET", OK, 200, "ok", 1},
       {"GET", chunked + "2\r\nab\r\n1\r\nc\r\n0\r\nX: y\r\n\r\n", 200, "abc", 1},
       {"HEAD", "HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n", 200, "", 1},
+      {
+        "HEAD", "HTTP/1.1 103 Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n", 200, "", 1
+      },
       {"GET", "HTTP/1.1 204 No Content\r\n\r\n", 204, "", 1},
       {"GET", "HTTP/1.1 304 Not Modified\r\nContent-Length: 9\r\n\r\n", 304, "", 1},
       {"GET", "HTTP/1.1 103 Early Hints\r\n\r\n" + OK, 200, "ok", 1},
@@ -446,7 +449,7 @@
     }
   }
 
-  /** Guards against a leaving upstream that gets new work, or whose running work is cut. */
+  /** Guards against new work after a leave or its renewal, and running work that is cut. */
   @Test
   public void drainFinishesWhatRuns() throws Exception {
     CountDownLatch received = new CountDownLatch(1);
@@ -455,6 +458,7 @@
       Call running = fixture.call(head("GET", true));
       assertTrue(received.await(UpstreamFixture.WAIT_SECONDS, TimeUnit.SECONDS));
       CompletableFuture<Boolean> drained = fixture.server.beginDrain(System.nanoTime());
+      fixture.attach(upstream.address());
       assertEquals(fixture.call(head("GET", true)).failedWith(true), ErrorKind.LEAVING);
       assertFalse(drained.isDone());
       go.countDown();
--- a/product/src/test/java/io/foxtaildoor/request/admission/AdmissionSimulation.java
+++ b/product/src/test/java/io/foxtaildoor/request/admission/AdmissionSimulation.java
@@ -36,6 +36,7 @@
   private long order;
   private int running;
   private long usefulNanos;
+  private long lengthNanos;
   private long startedExpired;
 
   /** One step of the simulation. */
@@ -83,6 +84,7 @@
 
   private Report simulate(Policy policy, Map<Rank, Double> load, long length, long seed) {
     SplittableRandom random = new SplittableRandom(seed);
+    lengthNanos = length;
     for (Rank rank : Rank.values()) {
       reports.put(rank, new RankReport());
       double rate = load.getOrDefault(rank, 0.0) * CAPACITY;
@@ -138,7 +140,9 @@
       RankReport report = reports.get(request.rank());
       report.inTime++;
       report.latency.recordValue(now - request.arrivedNanos());
-      usefulNanos += request.serviceNanos();
+      if (now <= lengthNanos) {
+        usefulNanos += request.serviceNanos();
+      }
     }
   }
 
