Test chunks that could hide a request

Cause: only malformed heads were in the table of smuggling shapes. Change: nine malformed chunks, each followed by a whole request, must end the connection with 400, outcome unknown and a cancelled stream.

--- a/product/src/test/java/io/foxtaildoor/connection/caller/CallerListenerTest.java
+++ b/product/src/test/java/io/foxtaildoor/connection/caller/CallerListenerTest.java
@@ -75,6 +75,28 @@
     assertEquals(fixture.links.opened.get(), 0);
   }
 
+  /** Chunks that another server could frame differently. */
+  @DataProvider
+  public Object[][] malformedChunks() {
+    return new Object[][] {
+      {"ZZ\r\nabc\r\n"}, {"-1\r\nabc\r\n"}, {"0x3\r\nabc\r\n"}, {"+3\r\nabc\r\n"},
+      {"3\nabc\r\n"}, {"3\r\nabcXX"}, {"\r\nabc\r\n"}, {"3 3\r\nabc\r\n"},
+      {"fffffffff\r\nabc\r\n"},
+    };
+  }
+
+  /** Guards against a request that is hidden behind a malformed chunk. */
+  @Test(dataProvider = "malformedChunks")
+  public void malformedChunksEndTheConnection(String chunk) throws Exception {
+    String head = "POST /check HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+    Reply reply = caller.send(head + chunk + "0\r\n\r\n" + CHECK).read();
+    assertEquals(reply.status(), 400);
+    assertEquals(reply.outcome(), "unknown");
+    assertTrue(caller.isClosedByPeer());
+    fixture.links.next().awaitCancelled();
+    assertEquals(fixture.links.opened.get(), 1);
+  }
+
   /** Guards against a listener that stops serving after any input; 200 seeded inputs. */
   @Test
   public void randomBytesHarmNobody() throws Exception {
