Bound the request bodies that are held for retries

Cause: 64 KiB for each of 10,000 connections could hold 640 MB, ten times the memory budget of a node. Change: all requests of a listener together hold at most 16 MiB; above it a body is passed on without being held, so a refusal after it is final.

--- a/product/src/main/java/io/foxtaildoor/connection/caller/CallerConnection.java
+++ b/product/src/main/java/io/foxtaildoor/connection/caller/CallerConnection.java
@@ -39,6 +39,7 @@
 
   private final CallerSettings settings;
   private final CallerDependencies dependencies;
+  private final ReplayMemory replayMemory;
   private final CallerResponseEncoder encoder;
   private final RequestTimeoutHandler timeouts;
   private final Queue<HttpObject> queue = new ArrayDeque<>();
@@ -55,8 +56,10 @@
   CallerConnection(
       CallerSettings settings,
       CallerDependencies dependencies,
+      ReplayMemory replayMemory,
       CallerResponseEncoder encoder,
       RequestTimeoutHandler timeouts) {
+    this.replayMemory = replayMemory;
     this.settings = settings;
     this.dependencies = dependencies;
     this.encoder = encoder;
@@ -143,9 +146,10 @@
       }
       RequestHead head =
           RequestHeadReader.read(request, dependencies.configuration().get(), newId(), now);
-      exchange =
-          new Exchange(
-              this, dependencies, channel.eventLoop(), head, answer, settings.replayBytes(), now);
+      RequestBody body =
+          new RequestBody(
+              head.hasBody(), head.route().maxBodyBytes(), settings.replayBytes(), replayMemory);
+      exchange = new Exchange(this, dependencies, channel.eventLoop(), head, answer, body, now);
       exchange.begin();
     } catch (FoxtaildoorException e) {
       refuse(answer, e, requestOpen && RequestHeadReader.hasSmallBody(request));
--- a/product/src/main/java/io/foxtaildoor/connection/caller/CallerListener.java
+++ b/product/src/main/java/io/foxtaildoor/connection/caller/CallerListener.java
@@ -34,6 +34,7 @@
   private final CallerSettings settings;
   private final CallerDependencies dependencies;
   private final EventLoopGroup group;
+  private final ReplayMemory replayMemory;
   private final ChannelGroup connections =
       new DefaultChannelGroup(GlobalEventExecutor.INSTANCE, true);
   private final CompletableFuture<Integer> drained = new CompletableFuture<>();
@@ -46,6 +47,7 @@
     this.settings = settings;
     this.dependencies = dependencies;
     this.group = group;
+    this.replayMemory = new ReplayMemory(settings.totalReplayBytes());
   }
 
   /**
@@ -81,7 +83,8 @@
     CallerResponseEncoder encoder = new CallerResponseEncoder();
     RequestTimeoutHandler timeouts =
         new RequestTimeoutHandler(settings.headTimeout(), settings.idleTimeout());
-    CallerConnection connection = new CallerConnection(settings, dependencies, encoder, timeouts);
+    CallerConnection connection =
+        new CallerConnection(settings, dependencies, replayMemory, encoder, timeouts);
     channel
         .pipeline()
         .addLast(new FlushConsolidationHandler(JOINED_FLUSHES, true))
@@ -168,6 +171,11 @@
     dependencies.retryBudgets().retainServices(known);
   }
 
+  /** Bytes of request bodies that are held for retries at present. */
+  public long heldBytes() {
+    return replayMemory.used();
+  }
+
   /** Number of open connections. */
   public int connections() {
     return connections.size();
--- a/product/src/main/java/io/foxtaildoor/connection/caller/CallerSettings.java
+++ b/product/src/main/java/io/foxtaildoor/connection/caller/CallerSettings.java
@@ -14,6 +14,7 @@
  * @param headTimeout time from the first byte of a request to the end of its head
  * @param idleTimeout time that a connection may wait for the first byte of a request
  * @param replayBytes largest part of a body that is held for a retry
+ * @param totalReplayBytes bound on what all requests together hold for retries
  * @param drainQuiet time that an idle connection stays open after a drain began
  * @param drainBound time after which a drain closes the connections that are left
  */
@@ -25,6 +26,7 @@
     Duration headTimeout,
     Duration idleTimeout,
     int replayBytes,
+    long totalReplayBytes,
     Duration drainQuiet,
     Duration drainBound) {
   /** Listens on a free loopback port. */
@@ -37,6 +39,7 @@
         Duration.ofSeconds(10),
         Duration.ofSeconds(60),
         64 * 1024,
+        16 * 1024 * 1024,
         Duration.ofMillis(250),
         Duration.ofSeconds(30));
   }
--- a/product/src/main/java/io/foxtaildoor/connection/caller/Exchange.java
+++ b/product/src/main/java/io/foxtaildoor/connection/caller/Exchange.java
@@ -43,7 +43,7 @@
       EventLoop loop,
       RequestHead head,
       Answer answer,
-      int replayLimit,
+      RequestBody body,
       long receivedNanos) {
     this.connection = connection;
     this.dependencies = dependencies;
@@ -51,7 +51,8 @@
     this.head = head;
     this.answer = answer;
     this.dispatcher = new Dispatcher(dependencies, head);
-    this.body = new RequestBody(head.hasBody(), head.route().maxBodyBytes(), replayLimit);
+    this.body = body;
+
     this.receivedNanos = receivedNanos;
   }
 
--- a/product/src/main/java/io/foxtaildoor/connection/caller/RequestBody.java
+++ b/product/src/main/java/io/foxtaildoor/connection/caller/RequestBody.java
@@ -11,6 +11,7 @@
   private final boolean present;
   private final long maxBytes;
   private final int replayLimit;
+  private final ReplayMemory memory;
   private final List<ByteBuf> held = new ArrayList<>();
   private int heldBytes;
   private long bytes;
@@ -23,8 +24,10 @@
    * @param present whether the request has a body at all
    * @param maxBytes largest body that the route admits
    * @param replayLimit largest part in bytes that is held for a retry
+   * @param memory bound on what all bodies hold
    */
-  RequestBody(boolean present, long maxBytes, int replayLimit) {
+  RequestBody(boolean present, long maxBytes, int replayLimit, ReplayMemory memory) {
+    this.memory = memory;
     this.present = present;
     this.maxBytes = maxBytes;
     this.replayLimit = replayLimit;
@@ -51,14 +54,21 @@
       return false;
     }
     ended = end;
-    if (part.readableBytes() > replayLimit - heldBytes) {
+    if (whole && part.isReadable()) {
+      hold(part);
+    }
+    return true;
+  }
+
+  private void hold(ByteBuf part) {
+    int size = part.readableBytes();
+    if (size <= replayLimit - heldBytes && memory.tryReserve(size)) {
+      heldBytes += size;
+      held.add(part.retainedDuplicate());
+    } else {
       whole = false;
       release();
-    } else if (whole && part.isReadable()) {
-      heldBytes += part.readableBytes();
-      held.add(part.retainedDuplicate());
     }
-    return true;
   }
 
   /** Sends what is held to a newly opened stream. */
@@ -75,5 +85,7 @@
   void release() {
     held.forEach(ByteBuf::release);
     held.clear();
+    memory.release(heldBytes);
+    heldBytes = 0;
   }
 }
--- a/product/src/test/java/io/foxtaildoor/connection/caller/CallerFixture.java
+++ b/product/src/test/java/io/foxtaildoor/connection/caller/CallerFixture.java
@@ -42,6 +42,7 @@
 /** A started listener with two instances of a service behind links that the test controls. */
 final class CallerFixture implements AutoCloseable {
   static final int MAX_BODY = 256 * 1024;
+  static final int MAX_HELD_BYTES = 80 * 1024;
   static final int SHORT_DEADLINE_MILLIS = 100;
   private static final ServiceId SERVICE = new ServiceId("bookings");
 
@@ -70,6 +71,7 @@
             headTimeout,
             defaults.idleTimeout(),
             defaults.replayBytes(),
+            MAX_HELD_BYTES,
             Duration.ofMillis(50),
             drainBound);
     listener = new CallerListener(settings, dependencies(), group);
--- a/product/src/test/java/io/foxtaildoor/connection/caller/ExchangeTest.java
+++ b/product/src/test/java/io/foxtaildoor/connection/caller/ExchangeTest.java
@@ -178,6 +178,28 @@
       assertEquals(fixture.links.opened.get(), 1);
     }
 
+    /** Guards against held bodies that fill the memory, and against memory that is not freed. */
+    @Test
+    public void heldBodiesAreBoundedTogether() throws Exception {
+      try (RawCaller other = fixture.caller()) {
+        String part = "a".repeat(REPLAY_BYTES - 1);
+        caller.send(post("/book", "", REPLAY_BYTES) + part);
+        FakeLinks.Stream held = fixture.links.next();
+        held.awaitBytes(part.length());
+        other.send(post("/book", "", REPLAY_BYTES) + part);
+        FakeLinks.Stream dropped = fixture.links.next();
+        dropped.awaitBytes(part.length());
+        assertTrue(fixture.listener.heldBytes() <= CallerFixture.MAX_HELD_BYTES);
+        dropped.fail(ErrorKind.OVERLOADED, true);
+        assertEquals(other.read().outcome(), "not-run");
+        held.fail(ErrorKind.OVERLOADED, true);
+        fixture.links.next().fail(ErrorKind.OVERLOADED, true);
+        assertEquals(caller.read().outcome(), "not-run");
+        assertEquals(fixture.links.opened.get(), 3);
+        assertEquals(fixture.listener.heldBytes(), 0);
+      }
+    }
+
     /** Guards against a replayed body that lacks its begin or its rest. */
     @Test
     public void smallBodyIsReplayedAndContinued() throws Exception {
