--- a/product/src/main/java/io/foxtaildoor/process/node/RequestPath.java
+++ b/product/src/main/java/io/foxtaildoor/process/node/RequestPath.java
@@ -7,7 +7,6 @@
 import static io.foxtaildoor.process.settings.NodeSettings.REGION;
 import static io.foxtaildoor.process.settings.NodeSettings.RETRY_BUDGET_PERCENT;
 
-import io.foxtaildoor.common.ServiceId;
 import io.foxtaildoor.connection.caller.CallerDependencies;
 import io.foxtaildoor.connection.caller.CallerListener;
 import io.foxtaildoor.connection.caller.CallerMetrics;
@@ -24,7 +23,6 @@
 import io.foxtaildoor.request.retry.RetryBudgets;
 import io.foxtaildoor.request.retry.RetryPolicy;
 import io.foxtaildoor.request.retry.RetrySettings;
-import io.foxtaildoor.version.manifest.HeldConfiguration;
 import java.net.InetSocketAddress;
 import java.util.concurrent.ThreadLocalRandom;
 
@@ -36,8 +34,6 @@
   private final CallerListener callers;
   private final UpstreamServer upstream;
   private final NettyLinkClient links;
-  private final UpstreamSelector selector;
-  private final RetryBudgets budgets;
 
   /** Creates the parts without starting them. */
   RequestPath(NodeContext context, ControlPlane control, LinkMetrics linkMetrics) {
@@ -51,11 +47,10 @@
             context.invariants(),
             context.clock(),
             context.random());
-    selector =
+    UpstreamSelector selector =
         new UpstreamSelector(
             BalanceSettings.defaults(), settings.get(REGION), settings.get(DATA_CENTRE));
     RetrySettings retries = retrySettings(settings);
-    budgets = new RetryBudgets(retries);
     callers =
         new CallerListener(
             callerSettings(settings),
@@ -65,7 +60,7 @@
                 links,
                 selector,
                 new RetryPolicy(retries),
-                budgets,
+                new RetryBudgets(retries),
                 new KeyedRequests(KEYED_REQUESTS),
                 context.invariants(),
                 new CallerMetrics(context.registry()),
@@ -80,7 +75,7 @@
             context.invariants(),
             context.registry(),
             context.clock());
-    control.holder().addListener(this::forgetRemovedServices);
+    control.holder().addListener(callers::configurationApplied);
   }
 
   private static RetrySettings retrySettings(Settings settings) {
@@ -103,6 +98,7 @@
         standard.headTimeout(),
         standard.idleTimeout(),
         standard.replayBytes(),
+        standard.totalReplayBytes(),
         standard.drainQuiet(),
         settings.get(DRAIN_TIMEOUT));
   }
@@ -121,15 +117,6 @@
         standard.keys());
   }
 
-  private void forgetRemovedServices(HeldConfiguration configuration) {
-    selector.retainServices(service -> isConfigured(configuration, service));
-    budgets.retainServices(service -> isConfigured(configuration, service));
-  }
-
-  private static boolean isConfigured(HeldConfiguration configuration, ServiceId service) {
-    return configuration.routes().service(service).isPresent();
-  }
-
   CallerListener callers() {
     return callers;
   }
