Append audit entries once when a batch spans two segments

Cause: when the first part of a batch was written to a segment that it filled and the write of the rest to the next segment failed, the repetition looked only into the next segment and appended the first part again. Change: the ids of an unfinished append that are in a segment are kept until it is finished; the race test uses segments of 7 entries.

--- a/product/src/main/java/io/foxtaildoor/process/audit/AuditSegments.java
+++ b/product/src/main/java/io/foxtaildoor/process/audit/AuditSegments.java
@@ -15,6 +15,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.stream.Collectors;
 
 /**
@@ -43,6 +44,9 @@
   /** Last known state of the segment; null when it must be read. */
   private volatile PlatformEntry known;
 
+  /** Entries of an unfinished append that are in a segment; its repetition leaves them out. */
+  private final Set<String> appended = ConcurrentHashMap.newKeySet();
+
   AuditSegments(PlatformClient platform, SettledWriter writer, int segmentEntries) {
     this.platform = platform;
     this.reads = new PlatformReads(platform, Runnable::run);
@@ -54,14 +58,23 @@
     return "audit/" + segment;
   }
 
-  /** Appends entries, those that are there already left out; fails when it must be repeated. */
+  /**
+   * Appends entries once each. When the future fails, the caller repeats the call with the same
+   * entries first; those that were appended before the failure are then left out.
+   */
   CompletableFuture<Void> append(List<AuditEntry> entries) {
-    List<AuditEntryMessage> messages = entries.stream().map(AuditEntry::toMessage).toList();
+    List<AuditEntryMessage> messages =
+        entries.stream()
+            .filter(entry -> !appended.contains(entry.id()))
+            .map(AuditEntry::toMessage)
+            .toList();
     return locate()
         .thenCompose(present -> appendTo(present, messages, 0))
         .whenComplete(
             (done, error) -> {
-              if (error != null) {
+              if (error == null) {
+                appended.clear();
+              } else {
                 known = null;
               }
             });
@@ -92,6 +105,7 @@
       return moveTo(segment + 1).thenCompose(next -> appendTo(next, entries, attempt + 1));
     }
     Set<String> ids = ids(content.get());
+    entries.stream().map(AuditEntryMessage::getId).filter(ids::contains).forEach(appended::add);
     List<AuditEntryMessage> missing =
         entries.stream().filter(entry -> !ids.contains(entry.getId())).toList();
     if (missing.isEmpty()) {
--- a/product/src/test/java/io/foxtaildoor/process/audit/AuditTrailTest.java
+++ b/product/src/test/java/io/foxtaildoor/process/audit/AuditTrailTest.java
@@ -13,6 +13,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.TreeSet;
+import java.util.stream.Stream;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -83,7 +84,11 @@
             random.nextInt(3) > 0 || (!write && random.nextInt(3) > 0)
                 ? Fault.NONE
                 : faults[random.nextInt(faults.length)]);
-    List<AuditTrail> trails = List.of(trail(), trail(), trail());
+    // Small segments, so that most batches are split between segments.
+    AuditSettings small =
+        new AuditSettings(1_000, 250, 1, 1, 7, 50, Duration.ofSeconds(1), Duration.ofSeconds(30));
+    List<AuditTrail> trails =
+        Stream.generate(() -> new AuditTrail(platform, time, small)).limit(3).toList();
     TreeSet<String> expected = new TreeSet<>();
     for (int i = 0; i < 600; i++) {
       AuditTrail trail = trails.get(random.nextInt(trails.size()));
