Make two tests independent of the order of events

The go-away test failed in 1 of 7 runs: a request that came within the backoff of 2 ms after the go-away is refused as LEAVING without a connection, while the test waited for one. The test now sets the clock of the client and checks both: the refusal within the backoff and a new link after it.

The early-answer test failed in 1 of 8 runs: the answer could end the exchange before the first part of the body was sent, for which the script waited.

--- a/product/src/test/java/io/foxtaildoor/connection/link/LinkFixture.java
+++ b/product/src/test/java/io/foxtaildoor/connection/link/LinkFixture.java
@@ -32,6 +32,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 
 /** A listener and a client on loopback, and raw sockets that speak frames. */
 final class LinkFixture implements AutoCloseable {
@@ -60,19 +61,13 @@
     return new LinkIdentity("test", new NodeId(node), () -> 1);
   }
 
-  NettyLinkClient client(LinkSettings settings, String cluster) {
+  NettyLinkClient client(LinkSettings settings, LongSupplier clock) {
     return new NettyLinkClient(
-        group,
-        settings,
-        new LinkIdentity(cluster, new NodeId("client"), () -> 1),
-        metrics,
-        invariants,
-        System::nanoTime,
-        new SplittableRandom(1));
+        group, settings, identity("client"), metrics, invariants, clock, new SplittableRandom(1));
   }
 
   NettyLinkClient client() {
-    return client(SETTINGS, "test");
+    return client(SETTINGS, System::nanoTime);
   }
 
   static NodeRecord node(String id, InetSocketAddress address) {
--- a/product/src/test/java/io/foxtaildoor/connection/link/NettyLinkClientTest.java
+++ b/product/src/test/java/io/foxtaildoor/connection/link/NettyLinkClientTest.java
@@ -10,6 +10,7 @@
 import io.foxtaildoor.connection.link.LinkFixture.Answer;
 import io.foxtaildoor.connection.link.LinkFixture.RawPeer;
 import io.foxtaildoor.process.invariant.Invariant;
+import io.foxtaildoor.process.membership.NodeRecord;
 import io.foxtaildoor.protocol.Frame;
 import io.foxtaildoor.protocol.GoAway;
 import io.foxtaildoor.protocol.Header;
@@ -26,6 +27,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.concurrent.atomic.AtomicLong;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
@@ -222,7 +224,7 @@
     LinkSettings quick =
         LinkFixture.SETTINGS.withPings(Duration.ofMillis(20), Duration.ofMillis(200));
     try (ServerSocket server = new ServerSocket(0, 8, InetAddress.getLoopbackAddress());
-        NettyLinkClient client = fixture.client(quick, "test")) {
+        NettyLinkClient client = fixture.client(quick, System::nanoTime)) {
       InetSocketAddress address = (InetSocketAddress) server.getLocalSocketAddress();
       Answer silent = new Answer();
       client.open(LinkFixture.node("raw", address), head("a", true), silent);
@@ -236,23 +238,28 @@
     }
   }
 
-  /** Guards against a leaving node that cuts its open streams or gets new ones. */
+  /** Guards against a leaving node that cuts its open streams, gets new ones or is kept out. */
   @Test
   public void goAwayFinishesOpenStreams() throws Exception {
+    AtomicLong passed = new AtomicLong();
+    LinkSettings settings =
+        LinkFixture.SETTINGS.withConnecting(
+            Duration.ofSeconds(20), Duration.ofHours(1), Duration.ofHours(1));
     try (ServerSocket server = new ServerSocket(0, 8, InetAddress.getLoopbackAddress());
-        NettyLinkClient client = fixture.client()) {
-      InetSocketAddress address = (InetSocketAddress) server.getLocalSocketAddress();
+        NettyLinkClient client = fixture.client(settings, () -> System.nanoTime() + passed.get())) {
+      NodeRecord node = LinkFixture.node("raw", (InetSocketAddress) server.getLocalSocketAddress());
       Answer open = new Answer();
-      client.open(LinkFixture.node("raw", address), head("a", true), open);
+      client.open(node, head("a", true), open);
       try (RawPeer peer = accepted(server)) {
         peer.write(Frame.newBuilder().setGoAway(GoAway.getDefaultInstance()).build());
         peer.write(answer(1, "a"));
         await(open.head);
         Answer refused = new Answer();
-        client.open(LinkFixture.node("raw", address), head("b", true), refused);
-        RawPeer next = RawPeer.accept(server);
-        next.close();
-        assertFailure(refused, ErrorKind.NODE_UNREACHABLE, true);
+        client.open(node, head("b", true), refused);
+        assertFailure(refused, ErrorKind.LEAVING, true);
+        passed.set(Duration.ofHours(2).toNanos());
+        client.open(node, head("c", true), new Answer());
+        accepted(server).close();
         assertFalse(open.failure.isDone());
       }
     }
--- a/product/src/test/java/io/foxtaildoor/connection/upstream/UpstreamServerTest.java
+++ b/product/src/test/java/io/foxtaildoor/connection/upstream/UpstreamServerTest.java
@@ -321,9 +321,11 @@
     Script script =
         connection -> {
           connection.head();
-          connection.write(OK);
           if (connection.number == 1) {
             connection.body(5);
+          }
+          connection.write(OK);
+          if (connection.number == 1) {
             closed.complete(connection.closedByPeer());
           }
         };
