Add JMH benchmarks of the work for each request and each change

Cause: docs/CAPACITY.md needs slopes measured in isolation. Change: module benchmarks, bin/benchmark.

--- /dev/null
+++ b/benchmarks/src/main/java/io/foxtaildoor/benchmarks/Configurations.java
@@ -0,0 +1,72 @@
+package io.foxtaildoor.benchmarks;
+
+import io.foxtaildoor.common.Digest;
+import io.foxtaildoor.common.TeamId;
+import io.foxtaildoor.protocol.ReservedShare;
+import io.foxtaildoor.protocol.RouteConfiguration;
+import io.foxtaildoor.protocol.ServiceConfiguration;
+import io.foxtaildoor.protocol.TeamConfiguration;
+import io.foxtaildoor.protocol.WireRank;
+import io.foxtaildoor.version.manifest.Manifest;
+import java.util.Map;
+import java.util.SortedMap;
+import java.util.TreeMap;
+
+/** Configurations of the design size: 810 teams with one service and three routes each. */
+final class Configurations {
+  /** Number of services that the design is made for. */
+  static final int TEAMS = 810;
+
+  private static final int COLD_START_MILLIS = 5_000;
+
+  private Configurations() {}
+
+  static String host(int team) {
+    return "service-" + team + ".mesh";
+  }
+
+  /** The part of a team; the number of slots tells revisions apart. */
+  static byte[] part(int team, int slots) {
+    String service = "service-" + team;
+    TeamConfiguration.Builder builder =
+        TeamConfiguration.newBuilder()
+            .setTeam("team-" + team)
+            .setMember("member")
+            .addServices(
+                ServiceConfiguration.newBuilder()
+                    .setId(service)
+                    .addCallers("*")
+                    .setSlots(slots)
+                    .setConnections(110)
+                    .setColdStartMillis(COLD_START_MILLIS)
+                    .addReservedShares(
+                        ReservedShare.newBuilder().setRank(WireRank.HIGH).setPercent(20)));
+    for (String path : new String[] {"/lookups", "/orders", "/audits"}) {
+      builder.addRoutes(
+          RouteConfiguration.newBuilder()
+              .setName("route" + path)
+              .setHost(host(team))
+              .addMethods("GET")
+              .setPath(path)
+              .setPrefix(true)
+              .setService(service)
+              .setIdempotent(true)
+              .setRank(WireRank.NORMAL)
+              .setDeadlineMillis(1_000)
+              .setMaxBodyBytes(65_536));
+    }
+    return builder.build().toByteArray();
+  }
+
+  /** Fills the parts and entries of a whole configuration. */
+  static Manifest whole(long version, Map<Digest, byte[]> parts) {
+    SortedMap<TeamId, Digest> entries = new TreeMap<>();
+    for (int team = 0; team < TEAMS; team++) {
+      byte[] part = part(team, 9);
+      Digest digest = Digest.of(part);
+      parts.put(digest, part);
+      entries.put(new TeamId("team-" + team), digest);
+    }
+    return Manifest.of(version, entries);
+  }
+}
