Add process tests of killed, paused and stopping nodes under load

Cause: the whole path was only shown by bin/quickstart, without faults. Change: a fixture that runs the platform stand-in, four nodes and their upstream stand-ins as processes on loopback, and NodeFaultIT.

--- /dev/null
+++ b/product/src/test/java/io/foxtaildoor/process/node/Loopback.java
@@ -0,0 +1,71 @@
+package io.foxtaildoor.process.node;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.foxtaildoor.common.Json;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Map;
+
+/** HTTP calls to loopback ports. */
+final class Loopback {
+  private static final Duration CALL_LIMIT = Duration.ofSeconds(30);
+  private static final HttpClient CLIENT = client();
+
+  private Loopback() {}
+
+  /** Status and JSON body of an answer. */
+  record Reply(int status, JsonNode body) {
+    String kind() {
+      return body.path("kind").asText();
+    }
+  }
+
+  private static HttpClient client() {
+    // Read once by the client's classes; tests send requests by the name of their work's host.
+    System.setProperty("jdk.httpclient.allowRestrictedHeaders", "host");
+    return HttpClient.newBuilder()
+        .version(HttpClient.Version.HTTP_1_1)
+        .connectTimeout(Duration.ofSeconds(5))
+        .build();
+  }
+
+  static HttpResponse<String> send(
+      String method, int port, String path, Map<String, String> headers, String body)
+      throws IOException {
+    return send(method, port, path, headers, body, CALL_LIMIT);
+  }
+
+  static HttpResponse<String> send(
+      String method,
+      int port,
+      String path,
+      Map<String, String> headers,
+      String body,
+      Duration limit)
+      throws IOException {
+    HttpRequest.Builder request =
+        HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + path))
+            .timeout(limit)
+            .method(method, HttpRequest.BodyPublishers.ofString(body));
+    headers.forEach(request::header);
+    try {
+      return CLIENT.send(request.build(), HttpResponse.BodyHandlers.ofString());
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new IOException("interrupted", e);
+    }
+  }
+
+  /** Calls an interface that answers with JSON. */
+  static Reply json(String method, int port, String path, Map<String, String> headers, String body)
+      throws IOException {
+    HttpResponse<String> response = send(method, port, path, headers, body);
+    return new Reply(
+        response.statusCode(), Json.tree(response.body().getBytes(StandardCharsets.UTF_8)));
+  }
+}
--- /dev/null
+++ b/product/src/test/java/io/foxtaildoor/process/node/ManagedProcess.java
@@ -0,0 +1,115 @@
+package io.foxtaildoor.process.node;
+
+import java.io.File;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/** An operating-system process that a test started; its output goes to a log file. */
+final class ManagedProcess {
+  private static final long EXIT_LIMIT_SECONDS = 60;
+
+  private final String name;
+  private final Path log;
+  private final Process process;
+
+  private ManagedProcess(String name, Path log, Process process) {
+    this.name = name;
+    this.log = log;
+    this.process = process;
+  }
+
+  static ManagedProcess start(Path directory, String name, List<String> command) {
+    Path log = directory.resolve(name + ".log");
+    ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
+    builder.environment().put("JAVA", java());
+    builder.redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
+    try {
+      return new ManagedProcess(name, log, builder.start());
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  static String java() {
+    return System.getProperty("java.home") + File.separator + "bin" + File.separator + "java";
+  }
+
+  /** Waits for a file that the process writes once it listens, and gives its lines. */
+  List<String> awaitFile(Path file) {
+    Polling.await(
+        "port file of " + name,
+        () -> {
+          if (!process.isAlive()) {
+            throw new AssertionError(name + " ended with " + process.exitValue() + ": " + log());
+          }
+          return Files.exists(file);
+        });
+    try {
+      return Files.readAllLines(file);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  String log() {
+    try {
+      return Files.readString(log);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  boolean isAlive() {
+    return process.isAlive();
+  }
+
+  /** Kills the process with SIGKILL. */
+  void kill() {
+    process.destroyForcibly();
+    awaitExit();
+  }
+
+  /** Ends the process with SIGTERM and gives its exit code. */
+  int terminate() {
+    process.destroy();
+    return awaitExit();
+  }
+
+  void pause() {
+    signal("-STOP");
+  }
+
+  void resume() {
+    signal("-CONT");
+  }
+
+  private void signal(String signal) {
+    try {
+      int code = new ProcessBuilder("kill", signal, Long.toString(process.pid())).start().waitFor();
+      if (code != 0) {
+        throw new AssertionError("kill " + signal + " of " + name + " gave " + code);
+      }
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new IllegalStateException("interrupted", e);
+    }
+  }
+
+  private int awaitExit() {
+    try {
+      if (!process.waitFor(EXIT_LIMIT_SECONDS, TimeUnit.SECONDS)) {
+        throw new AssertionError(name + " did not end: " + log());
+      }
+      return process.exitValue();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new IllegalStateException("interrupted", e);
+    }
+  }
+}
--- /dev/null
+++ b/product/src/test/java/io/foxtaildoor/process/node/MeshNode.java
@@ -0,0 +1,149 @@
+package io.foxtaildoor.process.node;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.foxtaildoor.common.Json;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** One node with the upstream stand-in on its host. A restart keeps the ports, as a host does. */
+final class MeshNode {
+  private static final Duration VERSION_LIMIT = Duration.ofSeconds(2);
+
+  private final Path directory;
+  private final String name;
+  private final String service;
+  private final Path settings;
+  private final String settingsText;
+  private final Map<String, Integer> ports = new HashMap<>();
+  private ManagedProcess process;
+  private ManagedProcess upstream;
+  private int upstreamPort;
+  private long newestSeen;
+
+  MeshNode(Path directory, String name, String service, String settingsText) {
+    this.directory = directory;
+    this.name = name;
+    this.service = service;
+    this.settingsText = settingsText;
+    this.settings = directory.resolve(name + ".yaml");
+  }
+
+  /** Starts the node and waits until it listens; the first start chooses the ports. */
+  void start() {
+    Path portFile = directory.resolve(name + ".ports");
+    try {
+      Files.deleteIfExists(portFile);
+      Files.writeString(
+          settings,
+          settingsText.formatted(
+              ports.getOrDefault("caller", 0),
+              ports.getOrDefault("peer", 0),
+              ports.getOrDefault("operator", 0)));
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+    String binary = System.getProperty("foxtaildoor.binary");
+    List<String> command =
+        List.of(binary, "node", "--settings", settings.toString(), "--port-file", "" + portFile);
+    process = ManagedProcess.start(directory, name, command);
+    for (String line : process.awaitFile(portFile)) {
+      int equals = line.indexOf('=');
+      ports.put(line.substring(0, equals), Integer.valueOf(line.substring(equals + 1)));
+    }
+    newestSeen = 0;
+  }
+
+  /** Starts the upstream stand-in; it announces itself to the node. */
+  void startUpstream() {
+    Path portFile = directory.resolve(name + "-upstream.port");
+    try {
+      Files.deleteIfExists(portFile);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+    upstream =
+        Mesh.standIn(
+            directory,
+            name + "-upstream",
+            "upstream.UpstreamStandIn",
+            List.of(
+                "--port",
+                "" + upstreamPort,
+                "--port-file",
+                "" + portFile,
+                "--service",
+                service,
+                "--service-time",
+                "10",
+                "--cold-start",
+                "0",
+                "--announce",
+                "127.0.0.1:" + operatorPort()));
+    upstreamPort = Integer.parseInt(upstream.awaitFile(portFile).get(0));
+  }
+
+  /** Sets the faults of the upstream stand-in; {@code {}} ends them. */
+  void upstreamFault(String document) throws IOException {
+    Loopback.json("POST", upstreamPort, "/standin/control", Map.of(), document);
+  }
+
+  /** Number of times the upstream stand-in started to execute a request. */
+  int executions(String id) throws IOException {
+    String path = "/standin/executions?id=" + id;
+    return Loopback.json("GET", upstreamPort, path, Map.of(), "").body().path("started").asInt();
+  }
+
+  /** Totals of the execution log. */
+  JsonNode executionTotals() throws IOException {
+    return Loopback.json("GET", upstreamPort, "/standin/executions", Map.of(), "").body();
+  }
+
+  /** Asks the node itself for the version in force, and checks that it never goes down. */
+  long version() throws IOException {
+    HttpResponse<String> response =
+        Loopback.send("GET", operatorPort(), "/v1/config", Map.of(), "", VERSION_LIMIT);
+    long version =
+        Json.tree(response.body().getBytes(StandardCharsets.UTF_8)).path("version").asLong();
+    if (version < newestSeen) {
+      throw new AssertionError(name + " went from version " + newestSeen + " to " + version);
+    }
+    newestSeen = version;
+    return version;
+  }
+
+  String name() {
+    return name;
+  }
+
+  Path settings() {
+    return settings;
+  }
+
+  ManagedProcess process() {
+    return process;
+  }
+
+  ManagedProcess upstream() {
+    return upstream;
+  }
+
+  int callerPort() {
+    return ports.get("caller");
+  }
+
+  int peerPort() {
+    return ports.get("peer");
+  }
+
+  int operatorPort() {
+    return ports.get("operator");
+  }
+}
--- /dev/null
+++ b/product/src/test/java/io/foxtaildoor/process/node/NodeFaultIT.java
@@ -0,0 +1,167 @@
+package io.foxtaildoor.process.node;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.Test;
+
+/** Faults and planned stops of node processes under load. */
+public final class NodeFaultIT {
+  /** Longer than the suspicion of 4 s and the reader lease of 10 s. */
+  private static final long PAUSE_MILLIS = 12_000;
+
+  private Mesh mesh;
+
+  @BeforeClass
+  public void startMesh() throws IOException {
+    mesh = Mesh.start();
+  }
+
+  @AfterClass(alwaysRun = true)
+  public void stopMesh() {
+    if (mesh != null) {
+      mesh.close();
+    }
+  }
+
+  /** Guards against wrong or repeated work when a node is killed, twice in a row. */
+  @Test(priority = 1)
+  public void killedNodeReturns() throws IOException {
+    MeshNode victim = mesh.node(Mesh.BOOKINGS_B);
+    try (RequestLoad load = RequestLoad.start(mesh.nodes())) {
+      for (int round = 0; round < 2; round++) {
+        load.awaitAnswers(40);
+        victim.process().kill();
+        load.awaitAnswers(40);
+        victim.start();
+        Polling.await("service through the restarted node", () -> RequestLoad.isServed(victim));
+      }
+      load.awaitAnswers(40);
+      Verdicts.check(mesh, load.finish(), victim);
+    }
+    mesh.awaitWhole();
+  }
+
+  /** Guards against a resumed node that keeps or spreads an older version. */
+  @Test(priority = 2)
+  public void pausedNodeHoldsTheNewestVersionAfterwards() throws IOException {
+    MeshNode paused = mesh.node(Mesh.INVENTORY_A);
+    List<MeshNode> others = mesh.nodesExcept(Mesh.INVENTORY_A);
+    long before = Mesh.versionOf(paused);
+    try (RequestLoad load = RequestLoad.start(others)) {
+      load.awaitAnswers(20);
+      paused.process().pause();
+      try {
+        long version = mesh.operators(Mesh.BOOKINGS_A).change("bookings-team", 2100);
+        assertEquals(version, before + 1);
+        Polling.await("the version on the others", () -> Mesh.inForce(others, version));
+        Polling.pause(PAUSE_MILLIS);
+      } finally {
+        paused.process().resume();
+      }
+      mesh.awaitInForce(before + 1);
+      load.awaitAnswers(20);
+      Verdicts.check(mesh, load.finish(), null);
+    }
+    mesh.awaitWhole();
+  }
+
+  /** Guards against a stop that cuts requests or lets those of other nodes fail. */
+  @Test(priority = 3)
+  public void terminatedNodeInterruptsNoRequest() throws IOException {
+    MeshNode leaving = mesh.node(Mesh.INVENTORY_B);
+    try (RequestLoad load = RequestLoad.start(mesh.nodesExcept(Mesh.INVENTORY_B))) {
+      load.awaitAnswers(40);
+      leaving.upstreamFault("{\"lateMillis\": 500}");
+      CompletableFuture<RequestLoad.Result> inFlight =
+          CompletableFuture.supplyAsync(
+              () -> RequestLoad.send(leaving, "inventory", "POST", "/write", "", "in-flight"));
+      Polling.await("the request in flight", () -> executions("in-flight") == 1);
+      assertEquals(leaving.process().terminate(), 0, leaving.process().log());
+      assertEquals(inFlight.join().status(), 200, inFlight.join().toString());
+      leaving.upstreamFault("{}");
+      load.awaitAnswers(40);
+      List<RequestLoad.Result> results = load.finish();
+      Verdicts.check(mesh, results, null);
+      Verdicts.allAnswered(results);
+    }
+    leaving.start();
+    mesh.awaitWhole();
+  }
+
+  private int executions(String id) {
+    int executions = 0;
+    for (MeshNode node : mesh.nodes()) {
+      try {
+        executions += node.executions(id);
+      } catch (IOException e) {
+        throw new java.io.UncheckedIOException(e);
+      }
+    }
+    return executions;
+  }
+
+  /** Guards against a restart storm that loses the contact node or the configuration. */
+  @Test(priority = 4)
+  public void halfOfTheNodesReturnWithTheContactNode() throws IOException {
+    MeshNode contact = mesh.node(Mesh.BOOKINGS_A);
+    MeshNode other = mesh.node(Mesh.INVENTORY_B);
+    long version = Mesh.versionOf(mesh.node(Mesh.BOOKINGS_B));
+    List<MeshNode> rest = mesh.nodesExcept(Mesh.BOOKINGS_A, Mesh.INVENTORY_B);
+    try (RequestLoad load = RequestLoad.start(rest)) {
+      load.awaitAnswers(40);
+      contact.process().kill();
+      other.process().kill();
+      load.awaitAnswers(40);
+      contact.start();
+      other.start();
+      mesh.awaitInForce(version);
+      load.awaitAnswers(40);
+      Verdicts.check(mesh, load.finish(), null);
+    }
+    mesh.awaitWhole();
+  }
+
+  /** Guards against a node that cannot rejoin or take over the configuration without platform. */
+  @Test(priority = 5)
+  public void killedNodeReturnsWhileThePlatformIsDown() throws IOException {
+    MeshNode victim = mesh.node(Mesh.INVENTORY_A);
+    long version = Mesh.versionOf(victim);
+    assertTrue(version > 0);
+    try (RequestLoad load = RequestLoad.start(mesh.nodesExcept(Mesh.INVENTORY_A))) {
+      mesh.platformFault("{\"down\": \"refused\"}");
+      try {
+        victim.process().kill();
+        load.awaitAnswers(40);
+        victim.start();
+        mesh.awaitInForce(version);
+        Polling.await("service through the restarted node", () -> RequestLoad.isServed(victim));
+      } finally {
+        mesh.platformFault("{\"down\": \"none\"}");
+      }
+      Verdicts.check(mesh, load.finish(), null);
+    }
+    mesh.awaitWhole();
+  }
+
+  /** Guards against an upstream's planned stop that cuts or refuses requests. */
+  @Test(priority = 6)
+  public void terminatedUpstreamInterruptsNoRequest() throws IOException {
+    MeshNode node = mesh.node(Mesh.BOOKINGS_B);
+    try (RequestLoad load = RequestLoad.start(mesh.nodes())) {
+      load.awaitAnswers(40);
+      assertEquals(node.upstream().terminate(), 0, node.upstream().log());
+      load.awaitAnswers(40);
+      List<RequestLoad.Result> results = load.finish();
+      Verdicts.allAnswered(results);
+      results.forEach(result -> assertTrue(result.echoed(), result.toString()));
+    }
+    node.startUpstream();
+    mesh.awaitWhole();
+  }
+}
--- /dev/null
+++ b/product/src/test/java/io/foxtaildoor/process/node/Operators.java
@@ -0,0 +1,73 @@
+package io.foxtaildoor.process.node;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.util.Map;
+
+/** Calls of one operator to the operator interface of one node. */
+final class Operators {
+  private final int port;
+  private final Map<String, String> credentials;
+
+  Operators(int port, String credentials) {
+    this.port = port;
+    this.credentials = Map.of("Authorization", "Bearer " + credentials);
+  }
+
+  Loopback.Reply submit(String team, String questionnaire) throws IOException {
+    return Loopback.json("POST", port, "/v1/questionnaires/" + team, credentials, questionnaire);
+  }
+
+  /** Replaces the questionnaire at a revision. */
+  Loopback.Reply amend(String team, long revision, String questionnaire) throws IOException {
+    Map<String, String> headers =
+        Map.of(
+            "Authorization", credentials.get("Authorization"), "If-Match", Long.toString(revision));
+    return Loopback.json("POST", port, "/v1/questionnaires/" + team, headers, questionnaire);
+  }
+
+  /** Replaces the newest questionnaire with one of another deadline. */
+  Loopback.Reply amendDeadline(String team, int deadlineMillis) throws IOException {
+    long revision = show(team).path("revision").asLong();
+    return amend(team, revision, Questionnaires.of(team, deadlineMillis));
+  }
+
+  JsonNode show(String team) throws IOException {
+    return Loopback.json("GET", port, "/v1/questionnaires/" + team, credentials, "").body();
+  }
+
+  Loopback.Reply diff(String team) throws IOException {
+    return Loopback.json("GET", port, "/v1/config/" + team + "/diff", credentials, "");
+  }
+
+  /** Approves what a diff or a submission showed. */
+  Loopback.Reply approve(String team, JsonNode reviewed) throws IOException {
+    ObjectNode body = JsonNodeFactory.instance.objectNode();
+    body.put("proposalDigest", reviewed.path("proposalDigest").asText());
+    if (reviewed.hasNonNull("baseDigest")) {
+      body.put("baseDigest", reviewed.path("baseDigest").asText());
+    }
+    return Loopback.json(
+        "POST", port, "/v1/config/" + team + "/approve", credentials, body.toString());
+  }
+
+  Loopback.Reply approveProposal(String team) throws IOException {
+    return approve(team, diff(team).body());
+  }
+
+  /** Brings a questionnaire with another deadline into force and gives the version. */
+  long change(String team, int deadlineMillis) throws IOException {
+    Loopback.Reply amended = amendDeadline(team, deadlineMillis);
+    Loopback.Reply approved = approve(team, amended.body());
+    if (approved.status() != 200) {
+      throw new AssertionError("amendment " + amended + ", approval " + approved);
+    }
+    return approved.body().path("version").asLong();
+  }
+
+  Loopback.Reply audit() throws IOException {
+    return Loopback.json("GET", port, "/v1/audit?limit=50", credentials, "");
+  }
+}
--- /dev/null
+++ b/product/src/test/java/io/foxtaildoor/process/node/Polling.java
@@ -0,0 +1,33 @@
+package io.foxtaildoor.process.node;
+
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+
+/**
+ * Waits for conditions with a generous limit, so that no verdict depends on the machine's speed.
+ */
+final class Polling {
+  private static final long LIMIT_NANOS = TimeUnit.SECONDS.toNanos(60);
+  private static final long INTERVAL_MILLIS = 50;
+
+  private Polling() {}
+
+  static void await(String condition, BooleanSupplier holds) {
+    long start = System.nanoTime();
+    while (!holds.getAsBoolean()) {
+      if (System.nanoTime() - start > LIMIT_NANOS) {
+        throw new AssertionError("not within 60 s: " + condition);
+      }
+      pause(INTERVAL_MILLIS);
+    }
+  }
+
+  static void pause(long millis) {
+    try {
+      Thread.sleep(millis);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new IllegalStateException("interrupted", e);
+    }
+  }
+}
--- /dev/null
+++ b/product/src/test/java/io/foxtaildoor/process/node/Verdicts.java
@@ -0,0 +1,58 @@
+package io.foxtaildoor.process.node;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.util.List;
+
+/** Checks that hold for every request, whatever failed meanwhile. */
+final class Verdicts {
+  private Verdicts() {}
+
+  /**
+   * Checks each result against the execution logs of all upstreams.
+   *
+   * @param unreachable node at which connections of callers may fail, or null
+   */
+  static void check(Mesh mesh, List<RequestLoad.Result> results, MeshNode unreachable)
+      throws IOException {
+    assertFalse(results.isEmpty());
+    for (RequestLoad.Result result : results) {
+      if (result.status() == 200) {
+        assertTrue(result.echoed(), "answer of another request: " + result);
+      } else if (result.status() == 0) {
+        assertEquals(result.node(), unreachable, "connection failed: " + result);
+      } else {
+        assertFalse(result.kind().isEmpty(), "untyped error: " + result);
+      }
+      boolean notRun = result.outcome().equals("not-run");
+      if (notRun || !result.idempotent()) {
+        checkExecutions(mesh, result, notRun);
+      }
+    }
+  }
+
+  private static void checkExecutions(Mesh mesh, RequestLoad.Result result, boolean notRun)
+      throws IOException {
+    int executions = 0;
+    for (MeshNode node : mesh.nodes()) {
+      executions += node.executions(result.id());
+    }
+    if (notRun) {
+      assertEquals(executions, 0, "refused as not run: " + result);
+    }
+    assertTrue(executions <= 1, "ran " + executions + " times: " + result);
+    if (result.status() == 200) {
+      assertEquals(executions, 1, "answered: " + result);
+    }
+  }
+
+  /** Checks that no request failed in any way. */
+  static void allAnswered(List<RequestLoad.Result> results) {
+    for (RequestLoad.Result result : results) {
+      assertEquals(result.status(), 200, result.toString());
+    }
+  }
+}
