Add an experiment tool that measures convergence on real processes

The module starts the platform stand-in and nodes through the binary, approves a change and polls every operator listener.

--- /dev/null
+++ b/experiments/src/main/java/io/foxtaildoor/experiments/ChildProcess.java
@@ -0,0 +1,83 @@
+package io.foxtaildoor.experiments;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/** A process that an experiment started, with its log and its port file. */
+final class ChildProcess {
+  private static final Duration START_LIMIT = Duration.ofSeconds(60);
+  private static final long POLL_MILLIS = 5;
+
+  private final Process process;
+  private final Path portFile;
+
+  private ChildProcess(Process process, Path portFile) {
+    this.process = process;
+    this.portFile = portFile;
+  }
+
+  /** Starts a process whose former port file, if there is one, is removed first. */
+  static ChildProcess start(
+      List<String> command, Map<String, String> environment, Path log, Path portFile)
+      throws IOException {
+    Files.deleteIfExists(portFile);
+    ProcessBuilder builder = new ProcessBuilder(command);
+    builder.environment().putAll(environment);
+    builder
+        .redirectErrorStream(true)
+        .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
+    return new ChildProcess(builder.start(), portFile);
+  }
+
+  long pid() {
+    return process.pid();
+  }
+
+  /** Waits for the port file and returns its lines. */
+  List<String> awaitPorts() {
+    long end = System.nanoTime() + START_LIMIT.toNanos();
+    while (System.nanoTime() - end < 0 && process.isAlive()) {
+      try {
+        if (Files.exists(portFile) && Files.size(portFile) > 0) {
+          return Files.readAllLines(portFile);
+        }
+      } catch (IOException e) {
+        throw new UncheckedIOException(e);
+      }
+      Pause.millis(POLL_MILLIS);
+    }
+    throw new IllegalStateException("no port file " + portFile.getFileName());
+  }
+
+  /** Sends SIGTERM. */
+  void terminate() {
+    process.destroy();
+  }
+
+  /** Sends SIGKILL and waits for the end. */
+  void kill() {
+    process.destroyForcibly();
+    awaitEnd(Duration.ofSeconds(10));
+  }
+
+  /** Waits for the end; false when the process still runs after the limit. */
+  boolean awaitEnd(Duration limit) {
+    try {
+      return process.waitFor(limit.toMillis(), TimeUnit.MILLISECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return false;
+    }
+  }
+
+  /** Resident memory in kilobytes; 0 when the process has ended. */
+  long residentKilobytes() {
+    return ProcFiles.residentKilobytes(pid());
+  }
+}
--- /dev/null
+++ b/experiments/src/main/java/io/foxtaildoor/experiments/Http.java
@@ -0,0 +1,65 @@
+package io.foxtaildoor.experiments;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+
+/** Calls processes on loopback. */
+final class Http {
+  private static final Duration TIMEOUT = Duration.ofSeconds(30);
+  private static final ObjectMapper JSON = new ObjectMapper();
+
+  private final HttpClient client =
+      HttpClient.newBuilder()
+          .version(HttpClient.Version.HTTP_1_1)
+          .connectTimeout(Duration.ofSeconds(5))
+          .build();
+
+  JsonNode get(int port, String path) {
+    return call("GET", port, path, Map.of(), "");
+  }
+
+  /**
+   * Makes one call.
+   *
+   * @throws IllegalStateException when the answer is an error
+   */
+  JsonNode call(String method, int port, String path, Map<String, String> headers, String body) {
+    HttpRequest.Builder request =
+        request(port, path).method(method, HttpRequest.BodyPublishers.ofString(body));
+    headers.forEach(request::header);
+    try {
+      HttpResponse<String> response =
+          client.send(request.build(), HttpResponse.BodyHandlers.ofString());
+      if (response.statusCode() >= 400) {
+        throw new IllegalStateException(
+            path + ": status " + response.statusCode() + " " + response.body());
+      }
+      return JSON.readTree(response.body());
+    } catch (IOException e) {
+      throw new IllegalStateException(path + " does not answer", e);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new IllegalStateException("interrupted", e);
+    }
+  }
+
+  /** Starts a call; the text is empty when it fails. */
+  CompletableFuture<String> text(int port, String path) {
+    return client
+        .sendAsync(request(port, path).build(), HttpResponse.BodyHandlers.ofString())
+        .thenApply(HttpResponse::body)
+        .exceptionally(failure -> "");
+  }
+
+  private static HttpRequest.Builder request(int port, String path) {
+    return HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + path)).timeout(TIMEOUT);
+  }
+}
--- /dev/null
+++ b/experiments/src/main/java/io/foxtaildoor/experiments/Mesh.java
@@ -0,0 +1,290 @@
+package io.foxtaildoor.experiments;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+
+/** The stand-in of the platform, nodes and upstreams as processes on loopback. */
+final class Mesh implements AutoCloseable {
+  /** Node processes that start at the same time, so that starting does not overload the host. */
+  private static final int START_BATCH = 10;
+
+  /** Nodes through which the others join, as a fleet has a few in each data centre. */
+  private static final int CONTACTS = 3;
+
+  private static final int DATA_CENTRES = 3;
+  private static final long MEMORY_LIMIT_KILOBYTES = 15L * 1024 * 1024;
+  private static final Duration STOP_LIMIT = Duration.ofSeconds(45);
+  private static final Duration JOIN_LIMIT = Duration.ofSeconds(60);
+  private static final String CREDENTIALS = "amina:experiment-token";
+
+  private final Options options;
+  private final Map<String, String> environment;
+  private final String extraSettings;
+  private final Path directory;
+  private final Http http = new Http();
+  private final List<ChildProcess> processes = new ArrayList<>();
+  private final List<NodeProcess> nodes = new ArrayList<>();
+  private final int platformPort;
+  private final int controlPort;
+  private long revision;
+
+  /**
+   * Starts the stand-in of the platform.
+   *
+   * @param environment additional environment of the nodes
+   * @param extraSettings YAML lines added to the settings of each node
+   */
+  Mesh(Options options, Map<String, String> environment, String extraSettings) throws IOException {
+    this.options = options;
+    this.environment = environment;
+    this.extraSettings = extraSettings;
+    this.directory = Files.createTempDirectory("foxtaildoor-experiment");
+    List<String> ports;
+    try {
+      ports = standIn("platform", "platform.PlatformStandIn", "--control-port", "0").awaitPorts();
+    } catch (IOException | IllegalStateException e) {
+      close();
+      throw e;
+    }
+    platformPort = Integer.parseInt(ports.get(0));
+    controlPort = Integer.parseInt(ports.get(1));
+  }
+
+  private ChildProcess standIn(String name, String type, String... arguments) throws IOException {
+    Path portFile = directory.resolve(name + ".port");
+    List<String> command = new ArrayList<>(List.of("java", "-XX:+UseSerialGC", "-Xmx128m", "-cp"));
+    command.add(options.standins + ":" + options.productJar);
+    command.add("io.foxtaildoor.standins." + type);
+    command.addAll(List.of("--port", "0", "--port-file", portFile.toString()));
+    command.addAll(List.of(arguments));
+    return track(ChildProcess.start(command, Map.of(), directory.resolve(name + ".log"), portFile));
+  }
+
+  private ChildProcess track(ChildProcess process) {
+    processes.add(process);
+    return process;
+  }
+
+  /** Starts nodes in batches and waits until all of them know each other. */
+  void startNodes(int count) throws IOException {
+    while (nodes.size() < count) {
+      int batch = nodes.size() < CONTACTS ? 1 : Math.min(START_BATCH, count - nodes.size());
+      List<NodeProcess> started = new ArrayList<>();
+      for (int i = 0; i < batch; i++) {
+        started.add(startNode(nodes.size() + i));
+      }
+      started.forEach(NodeProcess::awaitPorts);
+      nodes.addAll(started);
+      if (residentKilobytes() > MEMORY_LIMIT_KILOBYTES) {
+        throw new IllegalStateException("the processes use more than 15 GiB");
+      }
+    }
+    awaitMembers(count);
+  }
+
+  private NodeProcess startNode(int index) throws IOException {
+    String name = "node-" + index;
+    String contacts =
+        nodes.stream()
+            .limit(CONTACTS)
+            .filter(contact -> contact.isListening() && !contact.name().equals(name))
+            .map(contact -> "'127.0.0.1:" + contact.peer() + "'")
+            .collect(Collectors.joining(", "));
+    String settings =
+        "node: {cluster: pamoja, region: ke-central, dataCentre: ke-central-%s,"
+                .formatted((char) ('a' + index % DATA_CENTRES))
+            + " address: 127.0.0.1}\n"
+            + "listeners: {callerPort: 0, peerPort: 0, operatorPort: 0}\n"
+            + "contacts: ["
+            + contacts
+            + "]\n"
+            + "platform: {endpoints: ['127.0.0.1:"
+            + platformPort
+            + "']}\n"
+            + extraSettings;
+    Path file = directory.resolve(name + ".yaml");
+    Files.writeString(file, settings);
+    Path portFile = directory.resolve(name + ".ports");
+    List<String> command =
+        List.of(
+            options.binary.toString(),
+            "node",
+            "--settings",
+            file.toString(),
+            "--port-file",
+            portFile.toString());
+    return new NodeProcess(
+        name,
+        track(
+            ChildProcess.start(command, environment, directory.resolve(name + ".log"), portFile)));
+  }
+
+  /** Waits until the first and the last node know this many nodes that answer. */
+  void awaitMembers(int count) {
+    for (NodeProcess node : List.of(nodes.get(0), nodes.get(nodes.size() - 1))) {
+      Pause.until(
+          "join of " + count + " nodes",
+          JOIN_LIMIT,
+          () -> {
+            int answered = 0;
+            for (JsonNode member : http.get(node.operator(), "/v1/config/status").path("nodes")) {
+              answered += member.path("answered").asBoolean() ? 1 : 0;
+            }
+            return answered >= count;
+          });
+    }
+  }
+
+  /** Kills nodes with SIGKILL and starts them again with new ports and no state. */
+  void restart(List<Integer> indexes) throws IOException {
+    for (int index : indexes) {
+      nodes.get(index).process().kill();
+    }
+    for (int index : indexes) {
+      nodes.set(index, startNode(index));
+    }
+    indexes.forEach(index -> nodes.get(index).awaitPorts());
+  }
+
+  /** Starts an upstream beside each node and returns the ports. */
+  List<Integer> startUpstreams(int slots) throws IOException {
+    List<ChildProcess> started = new ArrayList<>();
+    for (NodeProcess node : nodes) {
+      started.add(
+          standIn(
+              node.name() + "-upstream",
+              "upstream.UpstreamStandIn",
+              "--service",
+              "bookings",
+              "--slots",
+              Integer.toString(slots),
+              "--service-time",
+              Integer.toString(options.serviceTimeMillis),
+              "--seed",
+              Long.toString(options.seed + started.size()),
+              "--announce",
+              "127.0.0.1:" + node.operator()));
+    }
+    List<Integer> ports = new ArrayList<>();
+    for (ChildProcess upstream : started) {
+      ports.add(Integer.valueOf(upstream.awaitPorts().get(0)));
+    }
+    return ports;
+  }
+
+  /** Creates the operator whose approvals the experiment makes. */
+  void createOperator() throws IOException {
+    Path token = directory.resolve("token");
+    Files.writeString(token, CREDENTIALS.substring(CREDENTIALS.indexOf(':') + 1));
+    List<String> command =
+        List.of(
+            options.binary.toString(),
+            "operator",
+            "create",
+            "--settings",
+            directory.resolve("node-0.yaml").toString(),
+            "--member",
+            "pamoja",
+            "--name",
+            "amina",
+            "--token-file",
+            token.toString());
+    ChildProcess create =
+        track(
+            ChildProcess.start(
+                command,
+                environment,
+                directory.resolve("operator.log"),
+                directory.resolve("operator.none")));
+    if (!create.awaitEnd(JOIN_LIMIT)) {
+      throw new IllegalStateException("the operator was not created");
+    }
+  }
+
+  /** A submitted change that is not approved yet. */
+  record Proposal(String team, String proposalDigest, String baseDigest) {}
+
+  /** Submits or amends the questionnaire of the bookings team at the first node. */
+  Proposal submit(String document) {
+    Map<String, String> headers =
+        revision == 0
+            ? authorization()
+            : Map.of("Authorization", "Bearer " + CREDENTIALS, "If-Match", Long.toString(revision));
+    JsonNode answer =
+        http.call(
+            "POST", nodes.get(0).operator(), "/v1/questionnaires/bookings-team", headers, document);
+    revision = answer.path("revision").asLong();
+    return new Proposal(
+        "bookings-team",
+        answer.path("proposalDigest").asText(),
+        answer.path("baseDigest").asText(null));
+  }
+
+  /** Approves a proposal at the first node and returns its version. */
+  long approve(Proposal proposal) throws IOException {
+    Map<String, String> body = new LinkedHashMap<>();
+    body.put("proposalDigest", proposal.proposalDigest());
+    if (proposal.baseDigest() != null && !proposal.baseDigest().equals("null")) {
+      body.put("baseDigest", proposal.baseDigest());
+    }
+    return http.call(
+            "POST",
+            nodes.get(0).operator(),
+            "/v1/config/" + proposal.team() + "/approve",
+            authorization(),
+            new ObjectMapper().writeValueAsString(body))
+        .path("version")
+        .asLong();
+  }
+
+  private static Map<String, String> authorization() {
+    return Map.of("Authorization", "Bearer " + CREDENTIALS);
+  }
+
+  /** Sets faults of the platform and returns its report. */
+  JsonNode platform(String document) {
+    return http.call("POST", controlPort, "/control", Map.of(), document);
+  }
+
+  List<NodeProcess> nodes() {
+    return nodes;
+  }
+
+  Http http() {
+    return http;
+  }
+
+  /** Resident memory of all processes in kilobytes. */
+  long residentKilobytes() {
+    return processes.stream().mapToLong(ChildProcess::residentKilobytes).sum();
+  }
+
+  /** Stops all processes and removes their files; the processes that stop late are killed. */
+  @Override
+  public void close() throws IOException {
+    for (int i = processes.size() - 1; i >= 0; i--) {
+      processes.get(i).terminate();
+    }
+    for (ChildProcess process : processes) {
+      if (!process.awaitEnd(STOP_LIMIT)) {
+        process.kill();
+      }
+    }
+    try (Stream<Path> files = Files.list(directory)) {
+      for (Path file : files.toList()) {
+        Files.deleteIfExists(file);
+      }
+    }
+    Files.deleteIfExists(directory);
+  }
+}
--- /dev/null
+++ b/experiments/src/main/java/io/foxtaildoor/experiments/VersionPoll.java
@@ -0,0 +1,85 @@
+package io.foxtaildoor.experiments;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** Polls the operator listeners of nodes until each reports a version. */
+final class VersionPoll {
+  private static final Pattern VERSION = Pattern.compile("\"version\"\\s*:\\s*([0-9]+)");
+
+  /** Above this number of nodes the interval grows, so that polling leaves the host usable. */
+  private static final int NODES_AT_SHORTEST = 40;
+
+  private static final int SHORTEST_MILLIS = 10;
+  private static final Duration LIMIT = Duration.ofMinutes(2);
+
+  private final Http http;
+  private final long version;
+  private final long startNanos;
+  private final long intervalMillis;
+  private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
+
+  /**
+   * When a node reported the version.
+   *
+   * @param millis time of the answer since the start
+   * @param gapMillis time since the last call that still gave an older version was sent
+   */
+  record Seen(double millis, double gapMillis) {}
+
+  private VersionPoll(Http http, long version, long startNanos, int nodes) {
+    this.http = http;
+    this.version = version;
+    this.startNanos = startNanos;
+    this.intervalMillis = Math.max(SHORTEST_MILLIS, SHORTEST_MILLIS * nodes / NODES_AT_SHORTEST);
+  }
+
+  /** Polls all nodes from now on and returns when each saw the version. */
+  static List<Seen> await(Http http, List<Integer> ports, long version, long startNanos) {
+    VersionPoll poll = new VersionPoll(http, version, startNanos, ports.size());
+    try {
+      List<CompletableFuture<Seen>> seen = new ArrayList<>();
+      for (int port : ports) {
+        CompletableFuture<Seen> result = new CompletableFuture<>();
+        seen.add(result.orTimeout(LIMIT.toMillis(), TimeUnit.MILLISECONDS));
+        poll.ask(port, startNanos, result);
+      }
+      return seen.stream().map(CompletableFuture::join).toList();
+    } finally {
+      poll.timer.shutdownNow();
+    }
+  }
+
+  private void ask(int port, long lastOlderNanos, CompletableFuture<Seen> result) {
+    long sentNanos = System.nanoTime();
+    http.text(port, "/v1/config")
+        .thenAccept(
+            body -> {
+              long now = System.nanoTime();
+              if (versionIn(body) >= version) {
+                result.complete(new Seen(millis(now - startNanos), millis(now - lastOlderNanos)));
+              } else if (!result.isDone()) {
+                long wait = intervalMillis - TimeUnit.NANOSECONDS.toMillis(now - sentNanos);
+                timer.schedule(
+                    () -> ask(port, sentNanos, result), Math.max(1, wait), TimeUnit.MILLISECONDS);
+              }
+            });
+  }
+
+  /** Finds the version at the start of an answer; -1 when it has none. */
+  static long versionIn(String body) {
+    Matcher matcher = VERSION.matcher(body);
+    return matcher.find() ? Long.parseLong(matcher.group(1)) : -1;
+  }
+
+  private static double millis(long nanos) {
+    return nanos / 1e6;
+  }
+}
--- /dev/null
+++ b/experiments/src/test/java/io/foxtaildoor/experiments/package-info.java
@@ -0,0 +1,2 @@
+/** Measures real processes on loopback. */
+package io.foxtaildoor.experiments;
