Add FIFO admission, round-robin selection and two load experiments

The effect of ranks and of power-of-two selection cannot be judged without a baseline. requests.admission and requests.selection choose it; the defaults are unchanged. FIFO keeps the refusal by estimated wait, so it differs from ranks only in the order of requests. Experiments ranks and added-latency use the product's load generator and report how late its own event loops ran.

--- /dev/null
+++ b/experiments/src/main/java/io/foxtaildoor/experiments/AddedLatencyExperiment.java
@@ -0,0 +1,97 @@
+package io.foxtaildoor.experiments;
+
+import io.foxtaildoor.process.load.Latency;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.function.ToDoubleBiFunction;
+
+/** Latency through two nodes against a direct call to the same upstream. */
+final class AddedLatencyExperiment implements Experiment {
+  private static final double CALLS_PER_SECOND = 100;
+  private static final int SLOTS = 9;
+  private static final int CONNECTIONS = 110;
+  private static final int DEADLINE_MILLIS = 2_000;
+  private static final long WARM_UP_MILLIS = 12_000;
+
+  @Override
+  public void run(Options options, Report report) throws IOException {
+    try (Load load = new Load();
+        Mesh mesh = new Mesh(options, Map.of(), "")) {
+      mesh.startNodes(2);
+      mesh.createOperator();
+      mesh.bringIntoForce(Questionnaires.bookings(DEADLINE_MILLIS));
+      int upstream = mesh.startUpstreams(SLOTS, List.of(mesh.nodes().get(1))).get(0);
+      Pause.millis(WARM_UP_MILLIS);
+      int caller = mesh.nodes().get(0).caller();
+      List<Latency> through = new ArrayList<>();
+      List<Latency> direct = new ArrayList<>();
+      // The first pair compiles the code on the path and is not counted.
+      for (int i = -1; i < options.repetitions; i++) {
+        Latency measured = latency(options, load, report, "through two nodes", i, caller);
+        Latency base = latency(options, load, report, "direct", i, upstream);
+        if (i >= 0) {
+          through.add(measured);
+          direct.add(base);
+        }
+      }
+      report.add(
+          new Report.Row()
+              .put("nodes", 2)
+              .put("path", "medians over " + options.repetitions + " pairs")
+              .put("p50DifferenceMillis", median(through, direct, (a, b) -> difference50(a, b)))
+              .put("p99DifferenceMillis", median(through, direct, (a, b) -> difference99(a, b)))
+              .put(
+                  "p50Ratio",
+                  median(through, direct, (a, b) -> ratio(a.p50Micros(), b.p50Micros())))
+              .put(
+                  "p99Ratio",
+                  median(through, direct, (a, b) -> ratio(a.p99Micros(), b.p99Micros()))));
+    }
+  }
+
+  private static Latency latency(
+      Options options, Load load, Report report, String path, int repetition, int port) {
+    Load.Measured measured =
+        load.run(
+            options,
+            CONNECTIONS,
+            List.of(
+                Load.stream(
+                    path, port, "URGENT", CALLS_PER_SECOND, Duration.ofMillis(DEADLINE_MILLIS))));
+    Latency latency = measured.result().streams().get(0).latency();
+    report.add(
+        new Report.Row()
+            .put("nodes", 2)
+            .put("path", path)
+            .put("repetition", repetition < 0 ? "warm-up" : repetition)
+            .put("answers", latency.count())
+            .put("p50Millis", latency.p50Micros() / 1e3)
+            .put("p99Millis", latency.p99Micros() / 1e3)
+            .put("generatorLateP99Millis", measured.latenessP99Millis()));
+    return latency;
+  }
+
+  private static double median(
+      List<Latency> left, List<Latency> right, ToDoubleBiFunction<Latency, Latency> value) {
+    List<Double> values = new ArrayList<>();
+    for (int i = 0; i < left.size(); i++) {
+      values.add(value.applyAsDouble(left.get(i), right.get(i)));
+    }
+    return new Samples(values).median();
+  }
+
+  private static double difference50(Latency left, Latency right) {
+    return (left.p50Micros() - right.p50Micros()) / 1e3;
+  }
+
+  private static double difference99(Latency left, Latency right) {
+    return (left.p99Micros() - right.p99Micros()) / 1e3;
+  }
+
+  private static double ratio(long left, long right) {
+    return left / (double) right;
+  }
+}
--- a/experiments/src/main/java/io/foxtaildoor/experiments/Main.java
+++ b/experiments/src/main/java/io/foxtaildoor/experiments/Main.java
@@ -9,7 +9,11 @@
 /** Runs one experiment by name. */
 public final class Main {
   private static final Map<String, Experiment> EXPERIMENTS =
-      new TreeMap<>(Map.of("convergence", new ConvergenceExperiment()));
+      new TreeMap<>(
+          Map.of(
+              "added-latency", new AddedLatencyExperiment(),
+              "convergence", new ConvergenceExperiment(),
+              "ranks", new RanksExperiment()));
 
   private Main() {}
 
--- a/experiments/src/main/java/io/foxtaildoor/experiments/Mesh.java
+++ b/experiments/src/main/java/io/foxtaildoor/experiments/Mesh.java
@@ -156,10 +156,10 @@
     indexes.forEach(index -> nodes.get(index).awaitPorts());
   }
 
-  /** Starts an upstream beside each node and returns the ports. */
-  List<Integer> startUpstreams(int slots) throws IOException {
+  /** Starts an upstream beside each of these nodes and returns the ports. */
+  List<Integer> startUpstreams(int slots, List<NodeProcess> hosts) throws IOException {
     List<ChildProcess> started = new ArrayList<>();
-    for (NodeProcess node : nodes) {
+    for (NodeProcess node : hosts) {
       started.add(
           standIn(
               node.name() + "-upstream",
@@ -247,6 +247,13 @@
         .asLong();
   }
 
+  /** Submits and approves a questionnaire and waits until every node holds it. */
+  void bringIntoForce(String document) throws IOException {
+    long version = approve(submit(document));
+    List<Integer> ports = nodes.stream().map(NodeProcess::operator).toList();
+    VersionPoll.await(http, ports, version, System.nanoTime());
+  }
+
   private static Map<String, String> authorization() {
     return Map.of("Authorization", "Bearer " + CREDENTIALS);
   }
--- /dev/null
+++ b/experiments/src/main/java/io/foxtaildoor/experiments/RanksExperiment.java
@@ -0,0 +1,110 @@
+package io.foxtaildoor.experiments;
+
+import io.foxtaildoor.process.load.Failure;
+import io.foxtaildoor.process.load.StreamPlan;
+import io.foxtaildoor.process.load.StreamResult;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/** Service by rank under floods, against FIFO admission with round robin. */
+final class RanksExperiment implements Experiment {
+  private static final int NODES = 5;
+  private static final int SLOTS = 9;
+  private static final int DEADLINE_MILLIS = 500;
+  private static final int CONNECTIONS_PER_NODE = 800;
+  private static final String BASELINE = "requests: {admission: fifo, selection: round-robin}\n";
+
+  /** Cold start of 5 s in the questionnaire and slow start of 10 s at the callers' nodes. */
+  private static final long WARM_UP_MILLIS = 12_000;
+
+  /** Offered load of each rank, from the most urgent, relative to the capacity. */
+  private record Case(String name, List<Double> load) {}
+
+  private static final List<Case> CASES =
+      List.of(
+          new Case("low x0.8", List.of(0.4, 0.1, 0.1, 0.8)),
+          new Case("low x1.5", List.of(0.4, 0.1, 0.1, 1.5)),
+          new Case("low x3", List.of(0.4, 0.1, 0.1, 3.0)),
+          new Case("low x10", List.of(0.4, 0.1, 0.1, 10.0)),
+          new Case("urgent x3", List.of(3.0, 0.1, 0.1, 0.1)));
+
+  @Override
+  public void run(Options options, Report report) throws IOException {
+    try (Load load = new Load();
+        Mesh ranks = new Mesh(options, Map.of(), "");
+        Mesh baseline = new Mesh(options, Map.of(), BASELINE)) {
+      prepare(ranks);
+      prepare(baseline);
+      Pause.millis(WARM_UP_MILLIS);
+      for (Case flood : CASES) {
+        measure(options, report, load, flood, ranks, "ranks");
+        measure(options, report, load, flood, baseline, "fifo+round-robin");
+      }
+    }
+  }
+
+  private static void prepare(Mesh mesh) throws IOException {
+    mesh.startNodes(NODES);
+    mesh.createOperator();
+    mesh.bringIntoForce(Questionnaires.bookings(DEADLINE_MILLIS));
+    mesh.startUpstreams(SLOTS, mesh.nodes());
+  }
+
+  private static void measure(
+      Options options, Report report, Load load, Case flood, Mesh mesh, String variant) {
+    double capacity = NODES * SLOTS * 1000.0 / options.serviceTimeMillis;
+    List<StreamPlan> streams = new ArrayList<>();
+    for (int rank = 0; rank < Questionnaires.RANKS.size(); rank++) {
+      String name = Questionnaires.RANKS.get(rank);
+      double rate = flood.load().get(rank) * capacity / NODES;
+      for (NodeProcess node : mesh.nodes()) {
+        streams.add(
+            Load.stream(
+                name + "-" + node.name(),
+                node.caller(),
+                name,
+                rate,
+                Duration.ofMillis(DEADLINE_MILLIS)));
+      }
+    }
+    Load.Measured measured = load.run(options, CONNECTIONS_PER_NODE, streams);
+    List<StreamResult> results = measured.result().streams();
+    long useful = results.stream().mapToLong(StreamResult::inTime).sum();
+    for (String rank : Questionnaires.RANKS) {
+      List<StreamResult> own = results.stream().filter(r -> r.rank().equals(rank)).toList();
+      report.add(
+          row(own)
+              .put("nodes", NODES)
+              .put("case", flood.name())
+              .put("variant", variant)
+              .put("usefulOfCapacity", useful / measured.result().measuredSeconds() / capacity)
+              .put("generatorLateP99Millis", measured.latenessP99Millis())
+              .put("generatorLateMaxMillis", measured.latenessMaxMillis()));
+    }
+  }
+
+  /** Adds up the streams of one rank; percentiles of several streams cannot be merged exactly. */
+  private static Report.Row row(List<StreamResult> streams) {
+    long intended = streams.stream().mapToLong(StreamResult::intended).sum();
+    long inTime = streams.stream().mapToLong(StreamResult::inTime).sum();
+    List<Double> p50 = streams.stream().map(s -> s.latency().p50Micros() / 1e3).toList();
+    List<Double> p99 = streams.stream().map(s -> s.latency().p99Micros() / 1e3).toList();
+    long failures =
+        streams.stream().flatMap(s -> s.failures().values().stream()).mapToLong(n -> n).sum();
+    long notSent =
+        streams.stream().mapToLong(s -> s.failures().getOrDefault(Failure.NOT_SENT, 0L)).sum();
+    return new Report.Row()
+        .put("rank", streams.get(0).rank())
+        .put("intended", intended)
+        .put("inTimeShare", inTime / (double) Math.max(1, intended))
+        .put("p50MillisMedianOfStreams", new Samples(p50).median())
+        .put("p99MillisWorstStream", new Samples(p99).max())
+        .put("notRun", streams.stream().mapToLong(StreamResult::notRun).sum())
+        .put("unknown", streams.stream().mapToLong(StreamResult::unknown).sum())
+        .put("failures", failures)
+        .put("notSentByGenerator", notSent);
+  }
+}
--- a/product/src/main/java/io/foxtaildoor/process/node/RequestPath.java
+++ b/product/src/main/java/io/foxtaildoor/process/node/RequestPath.java
@@ -1,11 +1,13 @@
 package io.foxtaildoor.process.node;
 
 import static io.foxtaildoor.process.settings.NodeSettings.ADDRESS;
+import static io.foxtaildoor.process.settings.NodeSettings.ADMISSION;
 import static io.foxtaildoor.process.settings.NodeSettings.CALLER_PORT;
 import static io.foxtaildoor.process.settings.NodeSettings.DATA_CENTRE;
 import static io.foxtaildoor.process.settings.NodeSettings.DRAIN_TIMEOUT;
 import static io.foxtaildoor.process.settings.NodeSettings.REGION;
 import static io.foxtaildoor.process.settings.NodeSettings.RETRY_BUDGET_PERCENT;
+import static io.foxtaildoor.process.settings.NodeSettings.SELECTION;
 
 import io.foxtaildoor.connection.caller.CallerDependencies;
 import io.foxtaildoor.connection.caller.CallerListener;
@@ -49,7 +51,9 @@
             context.random());
     UpstreamSelector selector =
         new UpstreamSelector(
-            BalanceSettings.defaults(), settings.get(REGION), settings.get(DATA_CENTRE));
+            BalanceSettings.defaults().withSelection(settings.get(SELECTION)),
+            settings.get(REGION),
+            settings.get(DATA_CENTRE));
     RetrySettings retries = retrySettings(settings);
     callers =
         new CallerListener(
@@ -113,7 +117,7 @@
         settings.get(DRAIN_TIMEOUT),
         standard.maxRequestBytes(),
         standard.maxAnswerBytes(),
-        standard.admission(),
+        standard.admission().withMode(settings.get(ADMISSION)),
         standard.keys());
   }
 
--- a/product/src/main/java/io/foxtaildoor/process/settings/NodeSettings.java
+++ b/product/src/main/java/io/foxtaildoor/process/settings/NodeSettings.java
@@ -8,10 +8,13 @@
 import static io.foxtaildoor.process.settings.SettingTypes.endpoints;
 import static io.foxtaildoor.process.settings.SettingTypes.id;
 import static io.foxtaildoor.process.settings.SettingTypes.integer;
+import static io.foxtaildoor.process.settings.SettingTypes.keyword;
 import static io.foxtaildoor.process.settings.SettingTypes.port;
 
 import io.foxtaildoor.common.DataCentreId;
 import io.foxtaildoor.common.RegionId;
+import io.foxtaildoor.request.admission.AdmissionMode;
+import io.foxtaildoor.request.balance.SelectionMode;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.time.Duration;
@@ -119,6 +122,20 @@
           10,
           "retries allowed for each hundred requests of a service");
 
+  public static final Setting<AdmissionMode> ADMISSION =
+      optional(
+          "requests.admission",
+          keyword(AdmissionMode.class),
+          AdmissionMode.RANKS,
+          "order in which waiting requests start; fifo ignores ranks and is only for comparison");
+
+  public static final Setting<SelectionMode> SELECTION =
+      optional(
+          "requests.selection",
+          keyword(SelectionMode.class),
+          SelectionMode.POWER_OF_TWO,
+          "choice of the upstream instance; round-robin is only for comparison");
+
   public static final Setting<Duration> ANNOUNCEMENT_EXPIRY =
       optional(
           "upstream.announcementExpiry",
@@ -156,6 +173,8 @@
           SUSPICION_TIMEOUT,
           FANOUT,
           RETRY_BUDGET_PERCENT,
+          ADMISSION,
+          SELECTION,
           ANNOUNCEMENT_EXPIRY,
           DRAIN_TIMEOUT,
           LOG_LEVEL);
--- a/product/src/main/java/io/foxtaildoor/process/settings/SettingTypes.java
+++ b/product/src/main/java/io/foxtaildoor/process/settings/SettingTypes.java
@@ -59,6 +59,26 @@
         Quantities::format);
   }
 
+  /** One of the constants of a type, written in lower case with hyphens. */
+  static <E extends Enum<E>> SettingType<E> keyword(Class<E> type) {
+    String words =
+        Arrays.stream(type.getEnumConstants()).map(SettingTypes::word).toList().toString();
+    return new SettingType<>(
+        "one of " + words,
+        value -> {
+          String text = text(value);
+          return Arrays.stream(type.getEnumConstants())
+              .filter(constant -> word(constant).equals(text))
+              .findFirst()
+              .orElseThrow(() -> new IllegalArgumentException("must be one of " + words));
+        },
+        SettingTypes::word);
+  }
+
+  private static String word(Enum<?> constant) {
+    return constant.name().toLowerCase(Locale.ROOT).replace('_', '-');
+  }
+
   static <E extends Enum<E>> SettingType<E> choice(Class<E> type) {
     return new SettingType<>(
         "one of " + Arrays.toString(type.getEnumConstants()),
--- a/product/src/main/java/io/foxtaildoor/request/admission/AdmissionQueue.java
+++ b/product/src/main/java/io/foxtaildoor/request/admission/AdmissionQueue.java
@@ -36,7 +36,7 @@
     this.controller = new LimitController(settings, limits);
     this.shares = new SlotShares(settings.shareWindow().toNanos(), nowNanos);
     for (Rank rank : Rank.values()) {
-      queues.put(rank, new TreeSet<>(Ticket::compareDeadline));
+      queues.put(rank, new TreeSet<>(settings.mode().order()));
     }
   }
 
@@ -48,7 +48,9 @@
   }
 
   /** Queues a request, or refuses it when it cannot finish before its deadline. */
-  public synchronized Admission<T> offer(T request, Rank rank, long deadlineNanos, long nowNanos) {
+  public synchronized Admission<T> offer(
+      T request, Rank requestRank, long deadlineNanos, long nowNanos) {
+    Rank rank = settings.mode().queues().queueOf(requestRank);
     shares.advance(nowNanos, controller.current(nowNanos));
     long remaining = deadlineNanos - nowNanos;
     if (draining) {
--- a/product/src/main/java/io/foxtaildoor/request/admission/AdmissionSettings.java
+++ b/product/src/main/java/io/foxtaildoor/request/admission/AdmissionSettings.java
@@ -11,16 +11,24 @@
  * @param shedFactor factor on the limit when the upstream sheds load
  * @param slowFactor factor on the limit when the latency grows
  * @param slowRatio latency relative to its long-term mean that counts as growth
+ * @param mode order in which waiting requests start
  */
 public record AdmissionSettings(
     int maxQueuedPerRank,
     Duration shareWindow,
     double shedFactor,
     double slowFactor,
-    double slowRatio) {
+    double slowRatio,
+    AdmissionMode mode) {
 
   /** Settings for the deployments described in the design page. */
   public static AdmissionSettings defaults() {
-    return new AdmissionSettings(256, Duration.ofSeconds(1), 0.7, 0.9, 2.0);
+    return new AdmissionSettings(256, Duration.ofSeconds(1), 0.7, 0.9, 2.0, AdmissionMode.RANKS);
+  }
+
+  /** The same settings with another order. */
+  public AdmissionSettings withMode(AdmissionMode other) {
+    return new AdmissionSettings(
+        maxQueuedPerRank, shareWindow, shedFactor, slowFactor, slowRatio, other);
   }
 }
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/request/admission/QueueChoice.java
@@ -0,0 +1,9 @@
+package io.foxtaildoor.request.admission;
+
+import io.foxtaildoor.common.Rank;
+
+/** Chooses the queue in which a request of a rank waits. */
+@FunctionalInterface
+interface QueueChoice {
+  Rank queueOf(Rank rank);
+}
--- a/product/src/main/java/io/foxtaildoor/request/admission/Ticket.java
+++ b/product/src/main/java/io/foxtaildoor/request/admission/Ticket.java
@@ -63,8 +63,12 @@
   }
 
   /** Orders by deadline; the differences allow for a monotonic clock that wraps. */
-  int compareDeadline(Ticket<T> other) {
+  int compareDeadline(Ticket<?> other) {
     int byDeadline = Long.signum(deadlineNanos - other.deadlineNanos);
     return byDeadline != 0 ? byDeadline : Long.compare(sequence, other.sequence);
   }
+
+  int compareArrival(Ticket<?> other) {
+    return Long.compare(sequence, other.sequence);
+  }
 }
--- a/product/src/main/java/io/foxtaildoor/request/balance/BalanceSettings.java
+++ b/product/src/main/java/io/foxtaildoor/request/balance/BalanceSettings.java
@@ -15,6 +15,7 @@
  * @param firstEjection length of the first ejection; doubles with each failed probe
  * @param longestEjection upper bound of an ejection
  * @param riskyProbeDelay further time after which work that cannot be retried may probe
+ * @param selection how an instance is chosen
  */
 public record BalanceSettings(
     Duration latencyWindow,
@@ -26,7 +27,8 @@
     int consecutiveFailures,
     Duration firstEjection,
     Duration longestEjection,
-    Duration riskyProbeDelay) {
+    Duration riskyProbeDelay,
+    SelectionMode selection) {
   /** The values of the design page and, where it leaves them open, those of the comparison tool. */
   public static BalanceSettings defaults() {
     return new BalanceSettings(
@@ -39,6 +41,23 @@
         5,
         Duration.ofSeconds(1),
         Duration.ofSeconds(60),
-        Duration.ofSeconds(5));
+        Duration.ofSeconds(5),
+        SelectionMode.POWER_OF_TWO);
+  }
+
+  /** The same settings with another way to choose an instance. */
+  public BalanceSettings withSelection(SelectionMode other) {
+    return new BalanceSettings(
+        latencyWindow,
+        latencyMemory,
+        reportLifetime,
+        slowStart,
+        slowStartShare,
+        spillOccupancy,
+        consecutiveFailures,
+        firstEjection,
+        longestEjection,
+        riskyProbeDelay,
+        other);
   }
 }
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/request/balance/InstanceChoice.java
@@ -0,0 +1,11 @@
+package io.foxtaildoor.request.balance;
+
+import io.foxtaildoor.common.NodeId;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+
+/** Chooses an available instance that was not tried; null when there is none. */
+@FunctionalInterface
+interface InstanceChoice {
+  InstanceState choose(Set<NodeId> tried, boolean retriable, long nowNanos, RandomGenerator random);
+}
--- a/product/src/main/java/io/foxtaildoor/request/balance/ServiceBalance.java
+++ b/product/src/main/java/io/foxtaildoor/request/balance/ServiceBalance.java
@@ -41,11 +41,15 @@
   private List<List<InstanceState>> tiers = emptyTiers();
   private double meanNanos = INITIAL_MEAN_NANOS;
   private boolean sampled;
+  private final InstanceChoice choice;
+  private int turn;
 
   ServiceBalance(BalanceSettings settings, RegionId region, DataCentreId dataCentre) {
     this.settings = settings;
     this.region = region;
     this.dataCentre = dataCentre;
+    this.choice =
+        settings.selection() == SelectionMode.ROUND_ROBIN ? this::nextInTurn : this::bestOfTiers;
   }
 
   synchronized Optional<Selection> choose(
@@ -55,7 +59,7 @@
       long nowNanos,
       RandomGenerator random) {
     synchronize(candidates);
-    InstanceState best = bestOfTiers(tried, retriable, nowNanos, random);
+    InstanceState best = choice.choose(tried, retriable, nowNanos, random);
     if (best == null) {
       best = drawAny(tried, random);
     }
@@ -151,6 +155,18 @@
     return node.region().equals(region) ? 1 : 2;
   }
 
+  private InstanceState nextInTurn(
+      Set<NodeId> tried, boolean retriable, long nowNanos, RandomGenerator random) {
+    for (int i = 0; i < lastCandidates.size(); i++) {
+      turn = (turn + 1) % lastCandidates.size();
+      InstanceState instance = instances.get(lastCandidates.get(turn).id());
+      if (isEligible(instance, null, tried, retriable, nowNanos)) {
+        return instance;
+      }
+    }
+    return null;
+  }
+
   private InstanceState bestOfTiers(
       Set<NodeId> tried, boolean retriable, long nowNanos, RandomGenerator random) {
     InstanceState best = null;
--- a/product/src/test/java/io/foxtaildoor/request/admission/AdmissionQueueTest.java
+++ b/product/src/test/java/io/foxtaildoor/request/admission/AdmissionQueueTest.java
@@ -45,6 +45,24 @@
       assertEquals(order, List.of("early", "late", "low"));
     }
 
+    /** Guards against a baseline for comparisons that still prefers ranks or deadlines. */
+    @Test
+    public void fifoIgnoresRankAndDeadline() {
+      AdmissionQueue<String> queue =
+          new AdmissionQueue<>(
+              AdmissionSettings.defaults().withMode(AdmissionMode.FIFO),
+              new UpstreamLimits(4, Map.of(), 0, 0),
+              0);
+      queue.offer("low", Rank.LOW, 100 * MILLIS, 0);
+      queue.offer("late", Rank.URGENT, 90 * MILLIS, 0);
+      queue.offer("early", Rank.URGENT, 80 * MILLIS, 0);
+      List<String> order = new ArrayList<>();
+      for (int i = 0; i < 3; i++) {
+        order.add(poll(queue, 0).orElseThrow());
+      }
+      assertEquals(order, List.of("low", "late", "early"));
+    }
+
     /** Guards against more requests at the upstream than it has slots. */
     @Test
     public void limitHolds() {
--- a/product/src/test/java/io/foxtaildoor/request/balance/UpstreamSelectorTest.java
+++ b/product/src/test/java/io/foxtaildoor/request/balance/UpstreamSelectorTest.java
@@ -70,6 +70,19 @@
     inFlight.values().forEach(count -> assertTrue(count <= 9, "requests on one: " + count));
   }
 
+  /** Guards against a baseline for comparisons that does not spread requests evenly. */
+  @Test
+  public void roundRobinTakesEachInstanceInTurn() {
+    selector =
+        new UpstreamSelector(
+            BalanceSettings.defaults().withSelection(SelectionMode.ROUND_ROBIN),
+            Fleet.REGION,
+            Fleet.HOME);
+    Map<NodeId, Integer> counts = counts(Fleet.warm(5, Fleet.AWAY), 0);
+    assertEquals(counts.size(), 5);
+    counts.values().forEach(count -> assertEquals(count.intValue(), DRAWS / 5));
+  }
+
   /** Guards against following a load report after it is out of date. */
   @Test
   public void staleReportsLoseTheirWeight() {
