Use one task scheduler and one virtual clock

Delayer and TaskScheduler were the same timer with different units, and the tests had a virtual clock for each. TaskScheduler now also takes a Duration and gives a delay as a future; VirtualTime orders the tasks of one moment by arrival or at random.

--- a/product/src/main/java/io/foxtaildoor/common/TaskScheduler.java
+++ b/product/src/main/java/io/foxtaildoor/common/TaskScheduler.java
@@ -1,6 +1,8 @@
 package io.foxtaildoor.common;
 
 import io.netty.util.concurrent.EventExecutorGroup;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
 /** Runs tasks after a delay; tasks must not block. */
@@ -9,6 +11,18 @@
   /** Runs a task once, after a delay in nanoseconds. */
   void schedule(long delayNanos, Runnable task);
 
+  /** Runs a task once, after a delay. */
+  default void schedule(Duration delay, Runnable task) {
+    schedule(delay.toNanos(), task);
+  }
+
+  /** Gives a future that completes after a delay. */
+  default CompletableFuture<Void> delay(Duration delay) {
+    CompletableFuture<Void> future = new CompletableFuture<>();
+    schedule(delay, () -> future.complete(null));
+    return future;
+  }
+
   /** Schedules on Netty's executors. */
   @SuppressWarnings("FutureReturnValueIgnored") // Tasks are never cancelled or waited for.
   static TaskScheduler on(EventExecutorGroup group) {
--- a/product/src/main/java/io/foxtaildoor/process/audit/AuditTrail.java
+++ b/product/src/main/java/io/foxtaildoor/process/audit/AuditTrail.java
@@ -1,7 +1,7 @@
 package io.foxtaildoor.process.audit;
 
 import io.foxtaildoor.common.MemberId;
-import io.foxtaildoor.process.platform.Delayer;
+import io.foxtaildoor.common.TaskScheduler;
 import io.foxtaildoor.process.platform.PlatformClient;
 import io.foxtaildoor.process.platform.SettledWriter;
 import java.time.Duration;
@@ -25,21 +25,21 @@
   private static final int MAX_SEGMENTS_PER_PAGE = 5;
 
   private final AuditSettings settings;
-  private final Delayer delayer;
+  private final TaskScheduler scheduler;
   private final AuditQueue queue;
   private final AuditSegments segments;
   private final AtomicBoolean writing = new AtomicBoolean();
   private final List<CompletableFuture<Void>> flushes = new ArrayList<>();
   private volatile boolean closed;
 
-  /** Creates a trail on a platform; the delayer waits between retries. */
-  public AuditTrail(PlatformClient platform, Delayer delayer, AuditSettings settings) {
+  /** Creates a trail on a platform; the scheduler waits between retries. */
+  public AuditTrail(PlatformClient platform, TaskScheduler scheduler, AuditSettings settings) {
     this.settings = settings;
-    this.delayer = delayer;
+    this.scheduler = scheduler;
     this.queue = new AuditQueue(settings);
     this.segments =
         new AuditSegments(
-            platform, new SettledWriter(platform, delayer), settings.segmentEntries());
+            platform, new SettledWriter(platform, scheduler), settings.segmentEntries());
   }
 
   /**
@@ -94,7 +94,7 @@
         error.getMessage());
     Duration doubled = retryWait.multipliedBy(2);
     Duration next = doubled.compareTo(settings.lastRetry()) > 0 ? settings.lastRetry() : doubled;
-    delayer.after(retryWait, () -> writeNext(next));
+    scheduler.schedule(retryWait, () -> writeNext(next));
   }
 
   /**
--- a/product/src/main/java/io/foxtaildoor/process/node/Administration.java
+++ b/product/src/main/java/io/foxtaildoor/process/node/Administration.java
@@ -1,5 +1,6 @@
 package io.foxtaildoor.process.node;
 
+import io.foxtaildoor.common.TaskScheduler;
 import io.foxtaildoor.common.Digest;
 import io.foxtaildoor.process.audit.AuditSettings;
 import io.foxtaildoor.process.audit.AuditTrail;
@@ -51,13 +52,13 @@
       Operator operator,
       Digest tokenHash) {
     AuditTrail audit =
-        new AuditTrail(platform, EventLoops.delayer(group), AuditSettings.defaults());
+        new AuditTrail(platform, TaskScheduler.on(group), AuditSettings.defaults());
     ApprovalService service =
         new ApprovalService(
             new ApprovalEnvironment(
                 platform,
                 audit,
-                EventLoops.delayer(group),
+                TaskScheduler.on(group),
                 worker,
                 System::currentTimeMillis,
                 EventLoops.random(),
--- a/product/src/main/java/io/foxtaildoor/process/node/EventLoops.java
+++ b/product/src/main/java/io/foxtaildoor/process/node/EventLoops.java
@@ -1,6 +1,5 @@
 package io.foxtaildoor.process.node;
 
-import io.foxtaildoor.process.platform.Delayer;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -9,7 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 
-/** Event loops, timers and random numbers of a process. */
+/** Event loops and random numbers of a process. */
 public final class EventLoops {
   private static final long QUIET_MILLIS = 0;
   private static final long STOP_LIMIT_MILLIS = 2_000;
@@ -22,10 +21,6 @@
         threads, new DefaultThreadFactory("loop"), NioIoHandler.newFactory());
   }
 
-  static Delayer delayer(EventLoopGroup group) {
-    return (delay, task) -> group.schedule(task, delay.toNanos(), TimeUnit.NANOSECONDS);
-  }
-
   /** A generator that several threads may use, seeded by the operating system. */
   static RandomGenerator random() {
     return new java.util.Random(new SecureRandom().nextLong());
--- a/product/src/main/java/io/foxtaildoor/process/node/Node.java
+++ b/product/src/main/java/io/foxtaildoor/process/node/Node.java
@@ -140,14 +140,14 @@
     audit =
         new AuditTrail(
             control.platform().interactive(),
-            EventLoops.delayer(context.group()),
+            context.scheduler(),
             AuditSettings.defaults());
     ApprovalService approvals =
         new ApprovalService(
             new ApprovalEnvironment(
                 control.platform().interactive(),
                 audit,
-                EventLoops.delayer(context.group()),
+                context.scheduler(),
                 context.worker(),
                 System::currentTimeMillis,
                 context.random(),
--- a/product/src/main/java/io/foxtaildoor/process/platform/SettledWriter.java
+++ b/product/src/main/java/io/foxtaildoor/process/platform/SettledWriter.java
@@ -1,5 +1,6 @@
 package io.foxtaildoor.process.platform;
 
+import io.foxtaildoor.common.TaskScheduler;
 import io.foxtaildoor.common.ErrorKind;
 import io.foxtaildoor.common.FoxtaildoorException;
 import java.time.Duration;
@@ -29,12 +30,12 @@
   }
 
   private final PlatformClient platform;
-  private final Delayer delayer;
+  private final TaskScheduler scheduler;
 
-  /** Creates a writer that waits with a delayer between readings. */
-  public SettledWriter(PlatformClient platform, Delayer delayer) {
+  /** Creates a writer that waits with a scheduler between readings. */
+  public SettledWriter(PlatformClient platform, TaskScheduler scheduler) {
     this.platform = platform;
-    this.delayer = delayer;
+    this.scheduler = scheduler;
   }
 
   /**
@@ -89,7 +90,7 @@
             "the answer to a write of " + key + " was lost and reading it back failed");
       }
       Duration wait = FIRST_WAIT.multipliedBy(1L << Math.min(round, 4));
-      return delayer.delay(wait).thenCompose(nothing -> settle(round + 1));
+      return scheduler.delay(wait).thenCompose(nothing -> settle(round + 1));
     }
 
     private CompletableFuture<Outcome> settle(int round) {
--- a/product/src/main/java/io/foxtaildoor/version/approval/ApprovalEnvironment.java
+++ b/product/src/main/java/io/foxtaildoor/version/approval/ApprovalEnvironment.java
@@ -1,7 +1,7 @@
 package io.foxtaildoor.version.approval;
 
 import io.foxtaildoor.process.audit.AuditTrail;
-import io.foxtaildoor.process.platform.Delayer;
+import io.foxtaildoor.common.TaskScheduler;
 import io.foxtaildoor.process.platform.PlatformClient;
 import io.foxtaildoor.process.platform.PlatformReads;
 import io.foxtaildoor.process.platform.SettledWriter;
@@ -23,7 +23,7 @@
 public record ApprovalEnvironment(
     PlatformClient platform,
     AuditTrail audit,
-    Delayer delayer,
+    TaskScheduler scheduler,
     Executor worker,
     LongSupplier epochMillis,
     RandomGenerator random,
@@ -33,7 +33,7 @@
   }
 
   SettledWriter writer() {
-    return new SettledWriter(platform, delayer);
+    return new SettledWriter(platform, scheduler);
   }
 
   /** Makes an id that no other write has. */
--- a/product/src/main/java/io/foxtaildoor/version/approval/ApproveOperation.java
+++ b/product/src/main/java/io/foxtaildoor/version/approval/ApproveOperation.java
@@ -171,7 +171,7 @@
     long mean = settings.retryDelay().toMillis() * Math.min(number, 8);
     Duration wait = Duration.ofMillis(environment.random().nextLong(2 * mean + 1));
     return environment
-        .delayer()
+        .scheduler()
         .delay(wait)
         .thenComposeAsync(waited -> attempt(number + 1), environment.worker());
   }
--- a/product/src/test/java/io/foxtaildoor/process/audit/AuditTrailTest.java
+++ b/product/src/test/java/io/foxtaildoor/process/audit/AuditTrailTest.java
@@ -45,7 +45,7 @@
     Optional<AuditCursor> cursor = Optional.empty();
     do {
       var page = trail().page(cursor, 37, member);
-      time.run(Duration.ofMinutes(1));
+      time.advance(Duration.ofMinutes(1));
       page.join().entries().forEach(entry -> ids.add(entry.id()));
       cursor = page.join().next().map(next -> AuditCursor.parse(next.toString()));
     } while (cursor.isPresent());
@@ -65,7 +65,7 @@
         ofMember.add(0, "e" + i);
       }
     }
-    time.run(Duration.ofMinutes(1));
+    time.advance(Duration.ofMinutes(1));
     assertEquals(trail.waiting(), 0);
     assertTrue(trail.flush().isDone());
     assertEquals(readAll(Optional.empty()), expected);
@@ -94,11 +94,11 @@
       AuditTrail trail = trails.get(random.nextInt(trails.size()));
       assertTrue(trail.record(entry("e" + i, AuditKind.AMENDMENT)));
       expected.add("e" + i);
-      time.run(Duration.ofMillis(random.nextInt(100)));
+      time.advance(Duration.ofMillis(random.nextInt(100)));
     }
-    time.run(Duration.ofHours(2));
+    time.advance(Duration.ofHours(2));
     platform.setFaults((key, write) -> Fault.NONE);
-    time.run(Duration.ofHours(1));
+    time.advance(Duration.ofHours(1));
     List<String> found = readAll(Optional.empty());
     assertEquals(found.size(), 600);
     assertEquals(new TreeSet<>(found), expected);
@@ -118,14 +118,14 @@
       trail.record(entry("s" + i, AuditKind.SUBMISSION));
     }
     assertEquals(trail.waiting(), AuditSettings.defaults().queueCapacity());
-    time.run(Duration.ofMinutes(10));
+    time.advance(Duration.ofMinutes(10));
     platform.setFaults((key, write) -> Fault.NONE);
-    time.run(Duration.ofMinutes(1));
+    time.advance(Duration.ofMinutes(1));
     assertEquals(trail.waiting(), 0);
     trail.record(entry("r", AuditKind.REFUSAL));
-    time.run(Duration.ofMinutes(1));
+    time.advance(Duration.ofMinutes(1));
     var page = trail.page(Optional.empty(), 1, Optional.empty());
-    time.run(Duration.ofMinutes(1));
+    time.advance(Duration.ofMinutes(1));
     assertEquals(page.join().entries().get(0).detail(), "detail (4990 not recorded)");
   }
 }
--- a/product/src/test/java/io/foxtaildoor/process/platform/ConfigurationReaderTest.java
+++ b/product/src/test/java/io/foxtaildoor/process/platform/ConfigurationReaderTest.java
@@ -149,7 +149,7 @@
     /** Guards against a watch by every node of the fleet. */
     @Test
     public void makesNoCallWithoutALease() {
-      SimulatedTime time = new SimulatedTime();
+      VirtualTime time = new VirtualTime();
       reader(client, new Receiver(), false, time).start();
       time.advance(TimeUnit.MINUTES.toNanos(10));
       assertEquals(platform.control("{}").path("calls").size(), 0);
--- a/product/src/test/java/io/foxtaildoor/process/platform/FaultyPlatform.java
+++ b/product/src/test/java/io/foxtaildoor/process/platform/FaultyPlatform.java
@@ -108,7 +108,7 @@
                 yield new PlatformResult.OutcomeUnknown<>("test");
               }
               case LATE -> {
-                time.after(LATENESS, () -> apply(key, expectedRevision, change));
+                time.schedule(LATENESS, () -> apply(key, expectedRevision, change));
                 yield new PlatformResult.OutcomeUnknown<>("test");
               }
             });
@@ -128,11 +128,11 @@
   private CompletableFuture<PlatformResult<PlatformEntry>> answer(
       Supplier<PlatformResult<PlatformEntry>> effect) {
     CompletableFuture<PlatformResult<PlatformEntry>> future = new CompletableFuture<>();
-    time.after(
+    time.schedule(
         latency(),
         () -> {
           PlatformResult<PlatformEntry> result = effect.get();
-          time.after(latency(), () -> future.complete(result));
+          time.schedule(latency(), () -> future.complete(result));
         });
     return future;
   }
--- a/product/src/test/java/io/foxtaildoor/process/platform/VirtualTime.java
+++ b/product/src/test/java/io/foxtaildoor/process/platform/VirtualTime.java
@@ -1,56 +1,80 @@
 package io.foxtaildoor.process.platform;
 
+import io.foxtaildoor.common.TaskScheduler;
 import java.time.Duration;
+import java.util.Comparator;
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 
-/** Runs tasks in the order of a virtual clock; tasks of one moment run in a seeded random order. */
-public final class VirtualTime implements Executor, Delayer {
+/**
+ * Clock and scheduler of a simulation in one thread. Tasks of one moment run in the order in which
+ * they were added or in a seeded random order.
+ */
+public final class VirtualTime implements Executor, TaskScheduler, LongSupplier {
   /** A run with more tasks is taken for one that does not end. */
   private static final int MAX_TASKS = 2_000_000;
 
-  private record Task(long atMillis, long order, Runnable work) implements Comparable<Task> {
-    @Override
-    public int compareTo(Task other) {
-      int byTime = Long.compare(atMillis, other.atMillis);
-      return byTime != 0 ? byTime : Long.compare(order, other.order);
-    }
-  }
+  /** A start other than 0 shows confusions of times with durations. */
+  private static final long START_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000_000);
+
+  private record Task(long atNanos, long order, Runnable action) {}
 
-  private final PriorityQueue<Task> tasks = new PriorityQueue<>();
-  private final Random random;
-  private long nowMillis = 1_000_000;
+  private final PriorityQueue<Task> tasks =
+      new PriorityQueue<>(Comparator.comparingLong(Task::atNanos).thenComparingLong(Task::order));
+  private final LongSupplier order;
+  private long nowNanos = START_NANOS;
+  private long added;
+
+  /** Creates a clock on which tasks of one moment run in the order in which they were added. */
+  public VirtualTime() {
+    order = () -> added;
+  }
 
+  /** Creates a clock on which tasks of one moment run in random order. */
   public VirtualTime(Random random) {
-    this.random = random;
+    order = random::nextLong;
+  }
+
+  /** The time in nanoseconds. */
+  @Override
+  public long getAsLong() {
+    return nowNanos;
   }
 
   public long nowMillis() {
-    return nowMillis;
+    return TimeUnit.NANOSECONDS.toMillis(nowNanos);
   }
 
   @Override
-  public void execute(Runnable work) {
-    after(Duration.ZERO, work);
+  public void execute(Runnable action) {
+    schedule(0, action);
   }
 
   @Override
-  public void after(Duration delay, Runnable task) {
-    tasks.add(new Task(nowMillis + delay.toMillis(), random.nextLong(), task));
+  public void schedule(long delayNanos, Runnable task) {
+    added++;
+    tasks.add(new Task(nowNanos + delayNanos, order.getAsLong(), task));
   }
 
   /** Runs all tasks of a span of time. */
-  public void run(Duration span) {
-    long end = nowMillis + span.toMillis();
-    for (int i = 0; !tasks.isEmpty() && tasks.peek().atMillis() <= end; i++) {
+  public void advance(Duration span) {
+    advance(span.toNanos());
+  }
+
+  /** Runs all tasks of a span of time in nanoseconds. */
+  public void advance(long nanos) {
+    long end = nowNanos + nanos;
+    for (int i = 0; !tasks.isEmpty() && tasks.peek().atNanos() <= end; i++) {
       if (i == MAX_TASKS) {
         throw new IllegalStateException("the tasks do not end");
       }
       Task task = tasks.remove();
-      nowMillis = Math.max(nowMillis, task.atMillis());
-      task.work().run();
+      nowNanos = Math.max(nowNanos, task.atNanos());
+      task.action().run();
     }
-    nowMillis = end;
+    nowNanos = end;
   }
 }
--- a/product/src/test/java/io/foxtaildoor/version/approval/ApprovalFaultTest.java
+++ b/product/src/test/java/io/foxtaildoor/version/approval/ApprovalFaultTest.java
@@ -67,7 +67,7 @@
               mesh,
               () -> mesh.await(node.service.approve(ADA, RED, receipt.proposal(), receipt.base())));
       assertEquals(receipts.stamp(), mesh.head().manifest().stamp());
-      mesh.time.run(Duration.ofMinutes(5));
+      mesh.time.advance(Duration.ofMinutes(5));
       assertEquals(mesh.head().version(), 1);
       assertEquals(mesh.heads().size(), 1);
       assertEquals(mesh.done(node.service.history(ADA, RED)).size(), 1);
@@ -84,7 +84,7 @@
       OperatorResult<T> result = request.get();
       for (int i = 0; i < 4 && !(result instanceof Done); i++) {
         assertEquals(result.errorKind(), ErrorKind.PLATFORM_UNAVAILABLE);
-        mesh.time.run(Duration.ofSeconds(1));
+        mesh.time.advance(Duration.ofSeconds(1));
         result = request.get();
       }
       return ((Done<T>) result).value();
@@ -98,7 +98,7 @@
         Mesh.Node node = mesh.new Node();
         node.accept(ADA, BLUE, 0, document(BLUE, 1));
         SubmissionReceipt receipt = mesh.done(node.submit(ADA, RED, 0, document(RED, 1)));
-        mesh.time.run(Duration.ofMinutes(1));
+        mesh.time.advance(Duration.ofMinutes(1));
         AtomicInteger headWrites = new AtomicInteger();
         mesh.platform.setFaults(
             (key, write) -> {
@@ -112,12 +112,12 @@
             mesh.await(node.service.approve(ADA, RED, receipt.proposal(), receipt.base()));
         assertEquals(unknown.errorKind(), ErrorKind.PLATFORM_OUTCOME_UNKNOWN);
         mesh.platform.setFaults((key, write) -> Fault.NONE);
-        mesh.time.run(Duration.ofMinutes(1));
+        mesh.time.advance(Duration.ofMinutes(1));
         var found = mesh.done(node.service.approve(ADA, RED, receipt.proposal(), receipt.base()));
         assertEquals(found.acceptedBefore(), last != Fault.REQUEST_LOST);
         assertEquals(found.stamp().version(), 2);
         assertEquals(mesh.heads().size(), 2);
-        mesh.time.run(Duration.ofMinutes(1));
+        mesh.time.advance(Duration.ofMinutes(1));
         assertEquals(node.holder.current().stamp().version(), 2);
       }
     }
@@ -130,9 +130,9 @@
       mesh.platform.setFaults(
           (key, write) -> key.startsWith("audit/") ? Fault.UNAVAILABLE : Fault.NONE);
       node.accept(ADA, RED, 0, document(RED, 1));
-      mesh.time.run(Duration.ofMinutes(30));
+      mesh.time.advance(Duration.ofMinutes(30));
       mesh.platform.setFaults((key, write) -> Fault.NONE);
-      mesh.time.run(Duration.ofMinutes(1));
+      mesh.time.advance(Duration.ofMinutes(1));
       var entries = mesh.done(node.service.audit(ADA, Optional.empty(), 50)).entries();
       assertEquals(
           entries.stream().map(AuditEntry::kind).toList(),
@@ -276,10 +276,10 @@
       mesh.platform.setFaults(
           (key, write) -> key.endsWith(FaultyPlatform.REMOVAL) ? Fault.LATE : Fault.NONE);
       var second = two.service.approve(BEN, BLUE, blue.proposal(), blue.base());
-      mesh.time.run(Duration.ofMillis(mesh.random.nextInt(400)));
+      mesh.time.advance(Duration.ofMillis(mesh.random.nextInt(400)));
       mesh.done(one.service.approve(ADA, RED, red.proposal(), red.base()));
       mesh.done(second);
-      mesh.time.run(Duration.ofMinutes(1));
+      mesh.time.advance(Duration.ofMinutes(1));
     }
   }
 }
--- a/product/src/test/java/io/foxtaildoor/version/approval/ApprovalRandomTest.java
+++ b/product/src/test/java/io/foxtaildoor/version/approval/ApprovalRandomTest.java
@@ -48,10 +48,10 @@
   public void versionsFormOneValidChain(long seed, int faultPercent) {
     Run run = new Run(seed, faultPercent);
     run.start();
-    run.mesh.time.run(SPAN);
+    run.mesh.time.advance(SPAN);
     run.stopped = true;
     run.mesh.platform.setFaults((key, write) -> Fault.NONE);
-    run.mesh.time.run(Duration.ofMinutes(5));
+    run.mesh.time.advance(Duration.ofMinutes(5));
     checkChain(run.mesh);
     checkNothingAcceptedIsLost(run);
     assertTrue(run.accepted.size() > 20, "only " + run.accepted.size() + " approvals");
@@ -147,7 +147,7 @@
                   })
               .thenAccept(
                   done ->
-                      mesh.time.after(
+                      mesh.time.schedule(
                           Duration.ofMillis(mesh.random.nextInt(400)), () -> act(operator)));
     }
 
--- a/product/src/test/java/io/foxtaildoor/version/approval/ApprovalServiceTest.java
+++ b/product/src/test/java/io/foxtaildoor/version/approval/ApprovalServiceTest.java
@@ -64,7 +64,7 @@
       assertEquals(state.document(), amended);
       List<RevisionSummary> history = mesh.done(node.service.history(ADA, RED));
       assertEquals(history.stream().map(RevisionSummary::revision).toList(), List.of(2L, 1L));
-      mesh.time.run(Duration.ofMinutes(1));
+      mesh.time.advance(Duration.ofMinutes(1));
       assertEquals(
           mesh.done(node.service.audit(ADA, Optional.empty(), 10)).entries().stream()
               .map(AuditEntry::kind)
@@ -113,7 +113,7 @@
         assertFalse(
             mesh.await(node.service.check(ADA, bad.document())) instanceof OperatorResult.Done);
       }
-      mesh.time.run(Duration.ofMinutes(10));
+      mesh.time.advance(Duration.ofMinutes(10));
       assertEquals(mesh.writes(), before);
       int recorded = mesh.done(node.service.audit(ADA, Optional.empty(), 200)).entries().size();
       assertTrue(recorded < BadQuestionnaires.CASES.size(), "refusals are not limited");
@@ -198,7 +198,7 @@
     @Test
     public void approvalTakesFourCallsBesidesAuditAndRemoval() {
       SubmissionReceipt receipt = mesh.done(node.submit(ADA, RED, 0, document(RED, 1)));
-      mesh.time.run(Duration.ofMinutes(1));
+      mesh.time.advance(Duration.ofMinutes(1));
       List<String> calls = new ArrayList<>();
       mesh.platform.setFaults(
           (key, write) -> {
@@ -229,7 +229,7 @@
         node.accept(ADA, RED, i, document(RED, i < 115 ? i + 1 : 1 + i % 5));
         assertEquals(mesh.parts(mesh.head()).size(), 1, "version " + i);
       }
-      mesh.time.run(Duration.ofMinutes(1));
+      mesh.time.advance(Duration.ofMinutes(1));
       int parts = mesh.platform.keys("part/").size();
       assertTrue(parts <= 8, parts + " parts");
       assertEquals(mesh.head().version(), 230);
--- a/product/src/test/java/io/foxtaildoor/version/approval/Mesh.java
+++ b/product/src/test/java/io/foxtaildoor/version/approval/Mesh.java
@@ -76,7 +76,7 @@
   /** Runs until a request is answered. */
   <T> OperatorResult<T> await(CompletableFuture<OperatorResult<T>> request) {
     for (int i = 0; i < 600 && !request.isDone(); i++) {
-      time.run(Duration.ofMillis(100));
+      time.advance(Duration.ofMillis(100));
     }
     return request.join();
   }
--- a/product/src/test/java/io/foxtaildoor/version/distribution/SimulatedFleet.java
+++ b/product/src/test/java/io/foxtaildoor/version/distribution/SimulatedFleet.java
@@ -3,7 +3,7 @@
 import io.foxtaildoor.common.ErrorKind;
 import io.foxtaildoor.common.FoxtaildoorException;
 import io.foxtaildoor.process.invariant.Invariants;
-import io.foxtaildoor.process.platform.SimulatedTime;
+import io.foxtaildoor.process.platform.VirtualTime;
 import io.foxtaildoor.protocol.Frame;
 import io.foxtaildoor.version.manifest.ConfigurationHolder;
 import io.foxtaildoor.version.manifest.HeldConfiguration;
@@ -28,7 +28,7 @@
 
   private static final long CALL_TIMEOUT = 2 * SECOND;
 
-  final SimulatedTime time = new SimulatedTime();
+  final VirtualTime time = new VirtualTime();
   final List<Node> nodes = new ArrayList<>();
   final SimpleMeterRegistry registry = new SimpleMeterRegistry();
   private final Random random;
