Use ExponentialBackoff for links between nodes

The links had a second computation of the same delays: doubling from a base up to a maximum, with jitter between half of the limit and the limit. Both limit the doublings to 20, so the bounds stay; seeded delays differ.

--- a/product/src/main/java/io/foxtaildoor/common/ExponentialBackoff.java
+++ b/product/src/main/java/io/foxtaildoor/common/ExponentialBackoff.java
@@ -29,6 +29,11 @@
     return limit - random.nextLong(limit / 2 + 1);
   }
 
+  /** Whether the last try failed. */
+  public boolean hasFailed() {
+    return failures > 0;
+  }
+
   /** Starts again from the initial delay. */
   public void succeeded() {
     failures = 0;
--- a/product/src/main/java/io/foxtaildoor/connection/link/NodeLinks.java
+++ b/product/src/main/java/io/foxtaildoor/connection/link/NodeLinks.java
@@ -1,6 +1,7 @@
 package io.foxtaildoor.connection.link;
 
 import io.foxtaildoor.common.ErrorKind;
+import io.foxtaildoor.common.ExponentialBackoff;
 import io.foxtaildoor.process.invariant.Invariants;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.ChannelFuture;
@@ -31,7 +32,7 @@
   private final RandomGenerator random;
   private final Set<ClientLink> allLinks;
   private final List<ClientLink> links = new ArrayList<>();
-  private int failures;
+  private final ExponentialBackoff backoff;
   private ErrorKind lastFailure = ErrorKind.NODE_UNREACHABLE;
   private long nextAttemptNanos;
 
@@ -50,6 +51,8 @@
     this.invariants = invariants;
     this.random = random;
     this.allLinks = allLinks;
+    this.backoff =
+        new ExponentialBackoff(shared.settings().backoffBase(), shared.settings().backoffMax());
   }
 
   EventLoop loop() {
@@ -86,7 +89,7 @@
   }
 
   private boolean mayConnect(long now, int usable) {
-    return (failures == 0 || now - nextAttemptNanos >= 0)
+    return (!backoff.hasFailed() || now - nextAttemptNanos >= 0)
         && links.size() - usable < RETIRED_LIMIT
         && allLinks.size() < shared.settings().maxLinks();
   }
@@ -123,7 +126,7 @@
 
   @Override
   public void linkOpened(ClientLink link) {
-    failures = 0;
+    backoff.succeeded();
   }
 
   @Override
@@ -145,17 +148,11 @@
   }
 
   private void backOff() {
-    long ceiling =
-        Backoff.ceilingNanos(
-            shared.settings().backoffBase(), shared.settings().backoffMax(), failures);
-    failures++;
-    // At least half of the ceiling, so that a node that refuses at once is not tried in a loop.
-    long wait = ceiling / 2 + random.nextLong(ceiling / 2 + 1);
-    nextAttemptNanos = shared.clock().getAsLong() + wait;
+    nextAttemptNanos = shared.clock().getAsLong() + backoff.failed(random);
   }
 
   /** Whether nothing is known of the node that a new object would not know. */
   boolean forgettable(long nowNanos) {
-    return links.isEmpty() && (failures == 0 || nowNanos - nextAttemptNanos >= 0);
+    return links.isEmpty() && (!backoff.hasFailed() || nowNanos - nextAttemptNanos >= 0);
   }
 }
