Keep one rendezvous order in common

Keyed requests and reader candidates each hashed and ordered nodes on their own (FNV-1a, mixed, ties by node id). RendezvousOrder in common now serves both; it hashes the parts of the key once.

--- a/product/src/main/java/io/foxtaildoor/connection/caller/Dispatcher.java
+++ b/product/src/main/java/io/foxtaildoor/connection/caller/Dispatcher.java
@@ -3,9 +3,9 @@
 import io.foxtaildoor.common.ErrorKind;
 import io.foxtaildoor.common.FoxtaildoorException;
 import io.foxtaildoor.common.NodeId;
+import io.foxtaildoor.common.RendezvousOrder;
 import io.foxtaildoor.common.ServiceId;
 import io.foxtaildoor.process.membership.NodeRecord;
-import io.foxtaildoor.request.balance.Rendezvous;
 import io.foxtaildoor.request.balance.Selection;
 import io.foxtaildoor.request.idempotency.KeyedRequests.Ending;
 import java.util.HashSet;
@@ -62,9 +62,10 @@
   private Selection nextKeyed(List<NodeRecord> candidates, long nowNanos) {
     String key = head.message().getIdempotencyKey();
     Optional<NodeId> known = dependencies.keyedRequests().destination(service, key, nowNanos);
+    RendezvousOrder order = new RendezvousOrder(service.value(), key);
     NodeId preferred =
         known
-            .or(() -> Rendezvous.first(service, key, candidates).map(NodeRecord::id))
+            .or(() -> order.first(candidates, NodeRecord::id).map(NodeRecord::id))
             .orElseThrow(this::noUpstream);
     NodeId target =
         dependencies
--- a/product/src/main/java/io/foxtaildoor/process/node/Administration.java
+++ b/product/src/main/java/io/foxtaildoor/process/node/Administration.java
@@ -1,7 +1,7 @@
 package io.foxtaildoor.process.node;
 
-import io.foxtaildoor.common.TaskScheduler;
 import io.foxtaildoor.common.Digest;
+import io.foxtaildoor.common.TaskScheduler;
 import io.foxtaildoor.process.audit.AuditSettings;
 import io.foxtaildoor.process.audit.AuditTrail;
 import io.foxtaildoor.process.platform.HttpPlatformClient;
@@ -51,8 +51,7 @@
       ExecutorService worker,
       Operator operator,
       Digest tokenHash) {
-    AuditTrail audit =
-        new AuditTrail(platform, TaskScheduler.on(group), AuditSettings.defaults());
+    AuditTrail audit = new AuditTrail(platform, TaskScheduler.on(group), AuditSettings.defaults());
     ApprovalService service =
         new ApprovalService(
             new ApprovalEnvironment(
--- a/product/src/main/java/io/foxtaildoor/process/node/Node.java
+++ b/product/src/main/java/io/foxtaildoor/process/node/Node.java
@@ -139,9 +139,7 @@
     OperatorRouter router = new OperatorRouter();
     audit =
         new AuditTrail(
-            control.platform().interactive(),
-            context.scheduler(),
-            AuditSettings.defaults());
+            control.platform().interactive(), context.scheduler(), AuditSettings.defaults());
     ApprovalService approvals =
         new ApprovalService(
             new ApprovalEnvironment(
--- a/product/src/main/java/io/foxtaildoor/process/platform/ReaderElection.java
+++ b/product/src/main/java/io/foxtaildoor/process/platform/ReaderElection.java
@@ -3,6 +3,7 @@
 import io.foxtaildoor.common.DataCentreId;
 import io.foxtaildoor.common.ExponentialBackoff;
 import io.foxtaildoor.common.NodeId;
+import io.foxtaildoor.common.RendezvousOrder;
 import java.time.Duration;
 import java.util.Collection;
 import java.util.Optional;
@@ -92,7 +93,7 @@
     if (lease != null) {
       return new Step.Renew(lease);
     }
-    int position = RendezvousOrder.position(self, alive, dataCentre.value());
+    int position = new RendezvousOrder(dataCentre.value()).position(self, alive);
     if (position >= settings.candidates()) {
       long pause = jittered(leaseNanos / RENEWAL_DIVISOR);
       nextStepNanos = nowNanos + pause;
--- a/product/src/main/java/io/foxtaildoor/process/platform/SettledWriter.java
+++ b/product/src/main/java/io/foxtaildoor/process/platform/SettledWriter.java
@@ -1,8 +1,8 @@
 package io.foxtaildoor.process.platform;
 
-import io.foxtaildoor.common.TaskScheduler;
 import io.foxtaildoor.common.ErrorKind;
 import io.foxtaildoor.common.FoxtaildoorException;
+import io.foxtaildoor.common.TaskScheduler;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Predicate;
--- a/product/src/main/java/io/foxtaildoor/version/approval/ApprovalEnvironment.java
+++ b/product/src/main/java/io/foxtaildoor/version/approval/ApprovalEnvironment.java
@@ -1,7 +1,7 @@
 package io.foxtaildoor.version.approval;
 
-import io.foxtaildoor.process.audit.AuditTrail;
 import io.foxtaildoor.common.TaskScheduler;
+import io.foxtaildoor.process.audit.AuditTrail;
 import io.foxtaildoor.process.platform.PlatformClient;
 import io.foxtaildoor.process.platform.PlatformReads;
 import io.foxtaildoor.process.platform.SettledWriter;
--- a/product/src/test/java/io/foxtaildoor/request/balance/UpstreamSelectorTest.java
+++ b/product/src/test/java/io/foxtaildoor/request/balance/UpstreamSelectorTest.java
@@ -6,6 +6,7 @@
 import static org.testng.Assert.assertTrue;
 
 import io.foxtaildoor.common.NodeId;
+import io.foxtaildoor.common.RendezvousOrder;
 import io.foxtaildoor.process.membership.NodeRecord;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -179,8 +180,9 @@
     Map<NodeId, Integer> share = new HashMap<>();
     for (int i = 0; i < 6_000; i++) {
       String key = "key-" + i;
-      NodeRecord first = Rendezvous.first(Fleet.SERVICE, key, nodes).orElseThrow();
-      NodeRecord after = Rendezvous.first(Fleet.SERVICE, key, fewer).orElseThrow();
+      RendezvousOrder order = new RendezvousOrder(Fleet.SERVICE.value(), key);
+      NodeRecord first = order.first(nodes, NodeRecord::id).orElseThrow();
+      NodeRecord after = order.first(fewer, NodeRecord::id).orElseThrow();
       share.merge(first.id(), 1, Integer::sum);
       if (first.equals(nodes.get(0))) {
         assertNotEquals(after, first);
