Read and write durations and sizes in one place

Settings, questionnaires and load plans each parsed "500ms" on their own. Quantities now holds the units of each form: settings have hours, questionnaires and load plans don't. Settings and load plans now reject leading zeros, as questionnaires did; the unused parseSize is gone.

--- a/product/src/main/java/io/foxtaildoor/common/Quantities.java
+++ b/product/src/main/java/io/foxtaildoor/common/Quantities.java
@@ -1,56 +1,76 @@
 package io.foxtaildoor.common;
 
 import java.time.Duration;
-import java.util.Map;
+import java.util.List;
+import java.util.OptionalLong;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
-/** Reads and writes durations and sizes with their units. */
+/** Text forms of durations and sizes: a whole number and a unit, such as 500ms or 64KiB. */
 public final class Quantities {
-  private static final Pattern FORM = Pattern.compile("(\\d{1,9})(ms|s|m|h|B|KiB|MiB)");
+  /** Durations of settings, in milliseconds. */
+  public static final Quantities DURATIONS =
+      new Quantities(
+          "0s",
+          new Unit("h", 3_600_000),
+          new Unit("m", 60_000),
+          new Unit("s", 1_000),
+          new Unit("ms", 1));
 
-  private static final Map<String, Long> MILLIS =
-      Map.of("ms", 1L, "s", 1_000L, "m", 60_000L, "h", 3_600_000L);
+  /** Durations of requests and of load, which have no hours, in milliseconds. */
+  public static final Quantities SHORT_DURATIONS =
+      new Quantities("0s", new Unit("m", 60_000), new Unit("s", 1_000), new Unit("ms", 1));
 
-  private static final Map<String, Long> BYTES = Map.of("B", 1L, "KiB", 1_024L, "MiB", 1_048_576L);
+  /** Sizes in bytes. */
+  public static final Quantities SIZES =
+      new Quantities(
+          "0B",
+          new Unit("GiB", 1L << 30),
+          new Unit("MiB", 1L << 20),
+          new Unit("KiB", 1L << 10),
+          new Unit("B", 1));
 
-  private Quantities() {}
+  /** At most 10 digits times the largest unit stay within a long. */
+  private static final Pattern FORM = Pattern.compile("(0|[1-9][0-9]{0,9})([A-Za-z]+)");
 
-  /**
-   * Reads a duration such as {@code 500ms} or {@code 5s}.
-   *
-   * @throws IllegalArgumentException when it is malformed
-   */
-  public static Duration parseDuration(String text) {
-    return Duration.ofMillis(parse(text, MILLIS, "a duration such as 500ms or 5s"));
-  }
+  private record Unit(String name, long factor) {}
+
+  private final String zero;
+  private final List<Unit> units;
 
-  /**
-   * Reads a size such as {@code 64KiB}, in bytes.
-   *
-   * @throws IllegalArgumentException when it is malformed
-   */
-  public static long parseSize(String text) {
-    return parse(text, BYTES, "a size such as 64KiB");
+  /** The units begin with the largest. */
+  private Quantities(String zero, Unit... units) {
+    this.zero = zero;
+    this.units = List.of(units);
   }
 
-  private static long parse(String text, Map<String, Long> units, String what) {
+  /** Reads a quantity in the smallest unit; empty when the text is malformed. */
+  public OptionalLong parse(String text) {
     Matcher matcher = FORM.matcher(text);
-    if (!matcher.matches() || !units.containsKey(matcher.group(2))) {
-      throw new IllegalArgumentException("must be " + what + ", not \"" + text + "\"");
+    if (!matcher.matches()) {
+      return OptionalLong.empty();
     }
-    return Long.parseLong(matcher.group(1)) * units.get(matcher.group(2));
+    long number = Long.parseLong(matcher.group(1));
+    return units.stream()
+        .filter(unit -> unit.name().equals(matcher.group(2)))
+        .mapToLong(unit -> number * unit.factor())
+        .findFirst();
   }
 
-  /** Writes a duration with its largest whole unit. */
-  public static String format(Duration duration) {
-    long millis = duration.toMillis();
-    if (millis != 0 && millis % 3_600_000 == 0) {
-      return millis / 3_600_000 + "h";
-    }
-    if (millis != 0 && millis % 60_000 == 0) {
-      return millis / 60_000 + "m";
+  /** Writes a quantity of the smallest unit in the largest unit that gives a whole number. */
+  public String format(long quantity) {
+    if (quantity == 0) {
+      return zero;
     }
-    return millis % 1_000 == 0 ? millis / 1_000 + "s" : millis + "ms";
+    return units.stream()
+        .filter(unit -> quantity % unit.factor() == 0)
+        .map(unit -> quantity / unit.factor() + unit.name())
+        .findFirst()
+        .orElseThrow();
+  }
+
+  /** Writes a duration, rounded down to milliseconds. */
+  public String format(Duration duration) {
+    return format(duration.toMillis());
   }
 }
--- a/product/src/main/java/io/foxtaildoor/process/load/LoadPlanReader.java
+++ b/product/src/main/java/io/foxtaildoor/process/load/LoadPlanReader.java
@@ -13,15 +13,13 @@
 import com.fasterxml.jackson.dataformat.yaml.YAMLFactory;
 import io.foxtaildoor.common.ErrorKind;
 import io.foxtaildoor.common.FoxtaildoorException;
+import io.foxtaildoor.common.Quantities;
 import java.io.IOException;
 import java.time.Duration;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
+import java.util.OptionalLong;
 
 /** Reads a load plan from YAML; the keys are the components of the records. */
 public final class LoadPlanReader {
-  private static final Pattern DURATION = Pattern.compile("([0-9]{1,9})(ms|s|m)");
-
   private static final ObjectMapper MAPPER =
       JsonMapper.builder(new YAMLFactory())
           .enable(MapperFeature.ACCEPT_CASE_INSENSITIVE_ENUMS)
@@ -68,17 +66,12 @@
     public Duration deserialize(JsonParser parser, DeserializationContext context)
         throws IOException {
       String text = parser.getValueAsString("");
-      Matcher matcher = DURATION.matcher(text);
-      if (!matcher.matches()) {
+      OptionalLong millis = Quantities.SHORT_DURATIONS.parse(text);
+      if (millis.isEmpty()) {
         throw JsonMappingException.from(
             parser, "\"" + text + "\" is no duration such as 500ms, 5s or 2m");
       }
-      long amount = Long.parseLong(matcher.group(1));
-      return switch (matcher.group(2)) {
-        case "ms" -> Duration.ofMillis(amount);
-        case "s" -> Duration.ofSeconds(amount);
-        default -> Duration.ofMinutes(amount);
-      };
+      return Duration.ofMillis(millis.getAsLong());
     }
   }
 }
--- a/product/src/main/java/io/foxtaildoor/process/settings/SettingTypes.java
+++ b/product/src/main/java/io/foxtaildoor/process/settings/SettingTypes.java
@@ -11,6 +11,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
+import java.util.OptionalLong;
 import java.util.function.Function;
 
 /** The forms of settings. */
@@ -46,17 +47,26 @@
   }
 
   static SettingType<Duration> duration(Duration min, Duration max) {
-    String range = Quantities.format(min) + " to " + Quantities.format(max);
+    String range = Quantities.DURATIONS.format(min) + " to " + Quantities.DURATIONS.format(max);
     return new SettingType<>(
         "duration (ms, s, m, h), " + range,
         value -> {
-          Duration duration = Quantities.parseDuration(text(value));
+          Duration duration = parseDuration(text(value));
           if (duration.compareTo(min) < 0 || duration.compareTo(max) > 0) {
             throw new IllegalArgumentException("must be from " + range + ", not " + text(value));
           }
           return duration;
         },
-        Quantities::format);
+        Quantities.DURATIONS::format);
+  }
+
+  private static Duration parseDuration(String text) {
+    OptionalLong millis = Quantities.DURATIONS.parse(text);
+    if (millis.isEmpty()) {
+      throw new IllegalArgumentException(
+          "must be a duration such as 500ms or 5s, not \"" + text + "\"");
+    }
+    return Duration.ofMillis(millis.getAsLong());
   }
 
   static <E extends Enum<E>> SettingType<E> choice(Class<E> type) {
--- a/product/src/main/java/io/foxtaildoor/version/generation/ConfigurationRenderer.java
+++ b/product/src/main/java/io/foxtaildoor/version/generation/ConfigurationRenderer.java
@@ -5,13 +5,12 @@
 import com.fasterxml.jackson.dataformat.yaml.YAMLMapper;
 import io.foxtaildoor.common.ErrorKind;
 import io.foxtaildoor.common.FoxtaildoorException;
+import io.foxtaildoor.common.Quantities;
 import io.foxtaildoor.common.Rank;
 import io.foxtaildoor.protocol.ReservedShare;
 import io.foxtaildoor.protocol.RouteConfiguration;
 import io.foxtaildoor.protocol.ServiceConfiguration;
 import io.foxtaildoor.protocol.TeamConfiguration;
-import io.foxtaildoor.version.questionnaire.Amounts;
-import java.time.Duration;
 import java.util.LinkedHashMap;
 import java.util.Map;
 
@@ -51,7 +50,7 @@
     fields.put("callers", service.getCallersList());
     fields.put("slots", service.getSlots());
     fields.put("connections", service.getConnections());
-    fields.put("coldStart", Amounts.duration(Duration.ofMillis(service.getColdStartMillis())));
+    fields.put("coldStart", Quantities.SHORT_DURATIONS.format(service.getColdStartMillis()));
     Map<String, Object> reserved = new LinkedHashMap<>();
     for (ReservedShare share : service.getReservedSharesList()) {
       reserved.put(Rank.of(share.getRankValue()).name(), share.getPercent());
@@ -70,8 +69,8 @@
     fields.put("service", route.getService());
     fields.put("idempotent", route.getIdempotent());
     fields.put("rank", Rank.of(route.getRankValue()).name());
-    fields.put("deadline", Amounts.duration(Duration.ofMillis(route.getDeadlineMillis())));
-    fields.put("maxBody", Amounts.size(route.getMaxBodyBytes()));
+    fields.put("deadline", Quantities.SHORT_DURATIONS.format(route.getDeadlineMillis()));
+    fields.put("maxBody", Quantities.SIZES.format(route.getMaxBodyBytes()));
     return fields;
   }
 }
--- a/product/src/main/java/io/foxtaildoor/version/questionnaire/Values.java
+++ b/product/src/main/java/io/foxtaildoor/version/questionnaire/Values.java
@@ -3,6 +3,7 @@
 import static io.foxtaildoor.version.questionnaire.FieldReader.scalar;
 
 import io.foxtaildoor.common.FoxtaildoorException;
+import io.foxtaildoor.common.Quantities;
 import io.foxtaildoor.common.Rank;
 import io.foxtaildoor.common.ServiceId;
 import io.foxtaildoor.version.questionnaire.FieldReader.Reporter;
@@ -10,28 +11,21 @@
 import io.foxtaildoor.version.questionnaire.YamlNode.ScalarType;
 import java.time.Duration;
 import java.util.Arrays;
-import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.TreeSet;
 import java.util.function.Function;
-import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
 /** Readers of the kinds of values that a questionnaire has. */
 final class Values {
   private static final Pattern INTEGER = Pattern.compile("0|-?[1-9][0-9]{0,9}");
-  private static final Pattern AMOUNT = Pattern.compile("(0|[1-9][0-9]{0,9})([A-Za-z]+)");
   private static final Pattern HOST =
       Pattern.compile("[a-z0-9]([a-z0-9-]*[a-z0-9])?(\\.[a-z0-9]([a-z0-9-]*[a-z0-9])?)*");
   private static final Pattern PATH = Pattern.compile("/[A-Za-z0-9._~!$&'()*+,;=:@%/-]*");
   private static final Pattern ESCAPES = Pattern.compile("([^%]|%[0-9A-Fa-f]{2})*");
   private static final Pattern DOT_SEGMENT = Pattern.compile("(.*/)?\\.\\.?(/.*)?");
 
-  private static final Map<String, Long> MILLIS_BY_UNIT =
-      Map.of("ms", 1L, "s", 1_000L, "m", 60_000L);
-  private static final Map<String, Long> BYTES_BY_UNIT =
-      Map.of("B", 1L, "KiB", 1L << 10, "MiB", 1L << 20, "GiB", 1L << 30);
-
   private Values() {}
 
   /** An id that a constructor checks. */
@@ -121,34 +115,31 @@
   }
 
   static ValueReader<Duration> duration(Duration min, Duration max) {
-    String unitsTitle = "a duration in ms, s or m, for example 500ms";
-    ValueReader<Long> amount =
-        amount(MILLIS_BY_UNIT, unitsTitle, min.toMillis(), max.toMillis(), Amounts::duration);
-    return (node, path, problems) -> amount.read(node, path, problems).map(Duration::ofMillis);
+    String wanted = "a duration in ms, s or m, for example 500ms";
+    ValueReader<Long> millis =
+        quantity(Quantities.SHORT_DURATIONS, wanted, min.toMillis(), max.toMillis());
+    return (node, path, problems) -> millis.read(node, path, problems).map(Duration::ofMillis);
   }
 
   static ValueReader<Long> size(long max) {
-    return amount(
-        BYTES_BY_UNIT, "a size in B, KiB, MiB or GiB, for example 64KiB", 0, max, Amounts::size);
+    return quantity(Quantities.SIZES, "a size in B, KiB, MiB or GiB, for example 64KiB", 0, max);
   }
 
-  private static ValueReader<Long> amount(
-      Map<String, Long> units, String wanted, long min, long max, Function<Long, String> title) {
+  private static ValueReader<Long> quantity(Quantities form, String wanted, long min, long max) {
     return scalar(
         ScalarType.TEXT,
         wanted,
         (text, reporter) -> {
-          Matcher matcher = AMOUNT.matcher(text);
-          if (!matcher.matches() || !units.containsKey(matcher.group(2))) {
+          OptionalLong quantity = form.parse(text);
+          if (quantity.isEmpty()) {
             return reporter.reject(
                 ProblemKind.MALFORMED_VALUE, Texts.quote(text) + " must be " + wanted);
           }
-          // At most 10 digits times 2^30 stays within a long.
-          long value = Long.parseLong(matcher.group(1)) * units.get(matcher.group(2));
+          long value = quantity.getAsLong();
           if (value < min || value > max) {
             return reporter.reject(
                 ProblemKind.OUT_OF_RANGE,
-                "must be from " + title.apply(min) + " to " + title.apply(max) + ", not " + text);
+                "must be from " + form.format(min) + " to " + form.format(max) + ", not " + text);
           }
           return Optional.of(value);
         });
