Keep header names and hop-by-hop headers in one place

The names of the foxtaildoor-* headers stood in four packages and the hop-by-hop headers in two lists that differed. HeaderNames in common has both. Callers' messages now lose http2-settings too; the Expect header is removed by the caller listener alone, as before.

--- a/product/src/main/java/io/foxtaildoor/connection/caller/Answer.java
+++ b/product/src/main/java/io/foxtaildoor/connection/caller/Answer.java
@@ -2,6 +2,7 @@
 
 import io.foxtaildoor.common.ErrorKind;
 import io.foxtaildoor.common.FoxtaildoorException;
+import io.foxtaildoor.common.HeaderNames;
 import io.foxtaildoor.protocol.Header;
 import io.foxtaildoor.protocol.ResponseStart;
 import io.netty.buffer.ByteBuf;
@@ -127,7 +128,7 @@
         headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
       }
     }
-    headers.set(CallerHeaders.REQUEST_ID, requestId);
+    headers.set(HeaderNames.REQUEST_ID, requestId);
     setConnection(headers);
     started = true;
     encoder.nextAnswer(toHead);
@@ -150,7 +151,7 @@
       Set<String> removed = CallerHeaders.removed(connection);
       for (Header header : head.getHeadersList()) {
         String name = header.getName().toLowerCase(Locale.ROOT);
-        if (!removed.contains(name) && !name.startsWith(CallerHeaders.PREFIX)) {
+        if (!removed.contains(name) && !name.startsWith(HeaderNames.PREFIX)) {
           response.headers().add(header.getName(), header.getValue());
         }
       }
--- a/product/src/main/java/io/foxtaildoor/connection/caller/CallerHeaders.java
+++ b/product/src/main/java/io/foxtaildoor/connection/caller/CallerHeaders.java
@@ -2,6 +2,7 @@
 
 import io.foxtaildoor.common.ErrorKind;
 import io.foxtaildoor.common.FoxtaildoorException;
+import io.foxtaildoor.common.HeaderNames;
 import io.foxtaildoor.protocol.Header;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -10,35 +11,11 @@
 import java.util.Locale;
 import java.util.Set;
 
-/** Names of headers that the listener reads or sets, and those that end at each connection. */
+/** Decides which headers of a message are not passed on. */
 final class CallerHeaders {
-  /** All headers of the product start with it; none passes from caller to upstream or back. */
-  static final String PREFIX = "foxtaildoor-";
-
-  static final String CALLER = "foxtaildoor-caller";
-  static final String DEADLINE_MILLIS = "foxtaildoor-deadline-ms";
-  static final String DEPTH = "foxtaildoor-depth";
-  static final String ERROR = "foxtaildoor-error";
-  static final String OUTCOME = "foxtaildoor-outcome";
-  static final String REQUEST_ID = "foxtaildoor-request-id";
-  static final String IDEMPOTENCY_KEY = "idempotency-key";
-
-  private static final Set<String> HOP_BY_HOP =
-      Set.of(
-          "connection",
-          "expect",
-          "keep-alive",
-          "proxy-authenticate",
-          "proxy-authorization",
-          "proxy-connection",
-          "te",
-          "trailer",
-          "transfer-encoding",
-          "upgrade");
-
   /** Removing one of these on a caller's wish would change what the request means. */
   private static final Set<String> NOT_REMOVABLE =
-      Set.of("host", "content-length", IDEMPOTENCY_KEY);
+      Set.of("host", "content-length", HeaderNames.IDEMPOTENCY_KEY);
 
   private CallerHeaders() {}
 
@@ -47,7 +24,7 @@
     return headers.stream()
         .anyMatch(
             header ->
-                header.getName().equalsIgnoreCase(REQUEST_ID)
+                header.getName().equalsIgnoreCase(HeaderNames.REQUEST_ID)
                     && !header.getValue().equals(requestId));
   }
 
@@ -64,11 +41,13 @@
    *     must be passed on
    */
   static Set<String> removed(List<String> connection) {
-    Set<String> removed = new HashSet<>(HOP_BY_HOP);
+    Set<String> removed = new HashSet<>(HeaderNames.HOP_BY_HOP);
+    // The listener answers the expectation of its caller itself.
+    removed.add("expect");
     for (String value : connection) {
       for (String token : value.toLowerCase(Locale.ROOT).split(",", -1)) {
         String name = token.strip();
-        if (NOT_REMOVABLE.contains(name) || name.startsWith(PREFIX)) {
+        if (NOT_REMOVABLE.contains(name) || name.startsWith(HeaderNames.PREFIX)) {
           throw new FoxtaildoorException(
               ErrorKind.INVALID_INPUT, "the Connection header must not name " + name);
         }
--- a/product/src/main/java/io/foxtaildoor/connection/caller/ProblemDocuments.java
+++ b/product/src/main/java/io/foxtaildoor/connection/caller/ProblemDocuments.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.foxtaildoor.common.ErrorKind;
+import io.foxtaildoor.common.HeaderNames;
 import io.foxtaildoor.common.Outcome;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -36,9 +37,9 @@
         .headers()
         .set(HttpHeaderNames.CONTENT_TYPE, "application/problem+json")
         .set(HttpHeaderNames.CONTENT_LENGTH, content.length)
-        .set(CallerHeaders.ERROR, kind.headerValue())
-        .set(CallerHeaders.OUTCOME, outcome.headerValue())
-        .set(CallerHeaders.REQUEST_ID, requestId);
+        .set(HeaderNames.ERROR, kind.headerValue())
+        .set(HeaderNames.OUTCOME, outcome.headerValue())
+        .set(HeaderNames.REQUEST_ID, requestId);
     return response;
   }
 }
--- a/product/src/main/java/io/foxtaildoor/connection/caller/RequestHeadReader.java
+++ b/product/src/main/java/io/foxtaildoor/connection/caller/RequestHeadReader.java
@@ -2,6 +2,7 @@
 
 import io.foxtaildoor.common.ErrorKind;
 import io.foxtaildoor.common.FoxtaildoorException;
+import io.foxtaildoor.common.HeaderNames;
 import io.foxtaildoor.common.Rank;
 import io.foxtaildoor.protocol.Header;
 import io.foxtaildoor.protocol.RequestStart;
@@ -45,14 +46,14 @@
     checkFraming(request);
     HttpHeaders headers = request.headers();
     RequestTarget target = RequestTarget.of(request.uri(), single(headers, "host"));
-    int depth = number(headers, CallerHeaders.DEPTH, 0);
+    int depth = number(headers, HeaderNames.DEPTH, 0);
     require(depth <= MAX_DEPTH, "the call chain is deeper than " + MAX_DEPTH);
-    String key = matching(headers, CallerHeaders.IDEMPOTENCY_KEY, KEY, "");
-    String id = matching(headers, CallerHeaders.REQUEST_ID, REQUEST_ID, newId);
+    String key = matching(headers, HeaderNames.IDEMPOTENCY_KEY, KEY, "");
+    String id = matching(headers, HeaderNames.REQUEST_ID, REQUEST_ID, newId);
     Set<String> removed = CallerHeaders.removed(headers);
 
     Route route = route(request, configuration, target);
-    checkCaller(configuration, route, single(headers, CallerHeaders.CALLER));
+    checkCaller(configuration, route, single(headers, HeaderNames.CALLER));
     long length = HttpUtil.getContentLength(request, 0L);
     if (length > route.maxBodyBytes()) {
       throw new FoxtaildoorException(
@@ -138,7 +139,7 @@
 
   private static long allowedNanos(HttpHeaders headers, Route route) {
     long allowed = route.deadline().toNanos();
-    int millis = number(headers, CallerHeaders.DEADLINE_MILLIS, Integer.MAX_VALUE);
+    int millis = number(headers, HeaderNames.DEADLINE_MILLIS, Integer.MAX_VALUE);
     return Math.min(allowed, TimeUnit.MILLISECONDS.toNanos(millis));
   }
 
@@ -155,7 +156,7 @@
       RequestStart.Builder message, HttpHeaders headers, Set<String> removed) {
     for (Map.Entry<String, String> header : headers) {
       String name = header.getKey().toLowerCase(Locale.ROOT);
-      if (!removed.contains(name) && !name.startsWith(CallerHeaders.PREFIX)) {
+      if (!removed.contains(name) && !name.startsWith(HeaderNames.PREFIX)) {
         message.addHeaders(Header.newBuilder().setName(name).setValue(header.getValue()));
       }
     }
--- a/product/src/main/java/io/foxtaildoor/connection/link/ClientStream.java
+++ b/product/src/main/java/io/foxtaildoor/connection/link/ClientStream.java
@@ -1,6 +1,7 @@
 package io.foxtaildoor.connection.link;
 
 import io.foxtaildoor.common.ErrorKind;
+import io.foxtaildoor.common.HeaderNames;
 import io.foxtaildoor.protocol.BodyChunk;
 import io.foxtaildoor.protocol.CancelStream;
 import io.foxtaildoor.protocol.Frame;
@@ -14,9 +15,6 @@
 
 /** The caller's end of a stream; its state is confined to the event loop of the node's links. */
 final class ClientStream implements RequestStream {
-  /** Carries the id of the request, so that the caller's end can check the answer. */
-  static final String REQUEST_ID = "foxtaildoor-request-id";
-
   private final EventLoop loop;
   private final RequestStart head;
   private final ResponseListener listener;
@@ -161,7 +159,7 @@
   /** Whether an answer names the request of this stream. */
   boolean answeredBy(ResponseStart answer) {
     for (Header header : answer.getHeadersList()) {
-      if (header.getName().equalsIgnoreCase(REQUEST_ID)) {
+      if (header.getName().equalsIgnoreCase(HeaderNames.REQUEST_ID)) {
         return header.getValue().equals(head.getRequestId());
       }
     }
--- a/product/src/main/java/io/foxtaildoor/connection/link/ServerStream.java
+++ b/product/src/main/java/io/foxtaildoor/connection/link/ServerStream.java
@@ -1,5 +1,6 @@
 package io.foxtaildoor.connection.link;
 
+import io.foxtaildoor.common.HeaderNames;
 import io.foxtaildoor.protocol.BodyChunk;
 import io.foxtaildoor.protocol.Frame;
 import io.foxtaildoor.protocol.Header;
@@ -59,12 +60,12 @@
   private ResponseStart named(ResponseStart head) {
     ResponseStart.Builder named = head.toBuilder().setStream(id).clearHeaders();
     for (Header header : head.getHeadersList()) {
-      if (!header.getName().equalsIgnoreCase(ClientStream.REQUEST_ID)) {
+      if (!header.getName().equalsIgnoreCase(HeaderNames.REQUEST_ID)) {
         named.addHeaders(header);
       }
     }
     return named
-        .addHeaders(Header.newBuilder().setName(ClientStream.REQUEST_ID).setValue(requestId))
+        .addHeaders(Header.newBuilder().setName(HeaderNames.REQUEST_ID).setValue(requestId))
         .build();
   }
 
--- a/product/src/main/java/io/foxtaildoor/connection/upstream/HeaderRules.java
+++ b/product/src/main/java/io/foxtaildoor/connection/upstream/HeaderRules.java
@@ -2,6 +2,7 @@
 
 import io.foxtaildoor.common.ErrorKind;
 import io.foxtaildoor.common.FoxtaildoorException;
+import io.foxtaildoor.common.HeaderNames;
 import io.foxtaildoor.common.Rank;
 import io.foxtaildoor.protocol.Header;
 import io.foxtaildoor.protocol.RequestStart;
@@ -29,20 +30,6 @@
   private static final Pattern TARGET = Pattern.compile("(/[\\x21-\\x7e]*|\\*)");
   private static final Pattern LENGTH = Pattern.compile("[0-9]{1,18}");
 
-  /** Headers of one connection (RFC 9110, section 7.6.1) and those that the node sets itself. */
-  private static final Set<String> DROPPED =
-      Set.of(
-          "connection",
-          "keep-alive",
-          "proxy-connection",
-          "proxy-authenticate",
-          "proxy-authorization",
-          "te",
-          "trailer",
-          "transfer-encoding",
-          "upgrade",
-          "http2-settings");
-
   private HeaderRules() {}
 
   /**
@@ -93,13 +80,13 @@
   }
 
   private static void own(RequestStart head, HttpHeaders headers, long remainingNanos) {
-    headers.set("foxtaildoor-depth", head.getDepth() + 1);
-    headers.set("foxtaildoor-attempt", head.getAttempt());
-    headers.set("foxtaildoor-rank", Rank.of(head.getRankValue()).name().toLowerCase(Locale.ROOT));
-    headers.set("foxtaildoor-deadline-ms", Math.max(1, remainingNanos / 1_000_000));
-    headers.set("foxtaildoor-request-id", head.getRequestId());
+    headers.set(HeaderNames.DEPTH, head.getDepth() + 1);
+    headers.set(HeaderNames.ATTEMPT, head.getAttempt());
+    headers.set(HeaderNames.RANK, Rank.of(head.getRankValue()).name().toLowerCase(Locale.ROOT));
+    headers.set(HeaderNames.DEADLINE_MILLIS, Math.max(1, remainingNanos / 1_000_000));
+    headers.set(HeaderNames.REQUEST_ID, head.getRequestId());
     if (!head.getIdempotencyKey().isEmpty()) {
-      headers.set("Idempotency-Key", head.getIdempotencyKey());
+      headers.set(HeaderNames.IDEMPOTENCY_KEY, head.getIdempotencyKey());
     }
   }
 
@@ -156,7 +143,7 @@
 
   /** The hop-by-hop headers and those that a {@code Connection} header names. */
   private static Set<String> connectionHeaders(List<Header> headers) {
-    Set<String> names = new HashSet<>(DROPPED);
+    Set<String> names = new HashSet<>(HeaderNames.HOP_BY_HOP);
     for (Header header : headers) {
       if (header.getName().equalsIgnoreCase("connection")) {
         for (String name : header.getValue().split(",", -1)) {
--- a/product/src/main/java/io/foxtaildoor/process/cli/RequestCommand.java
+++ b/product/src/main/java/io/foxtaildoor/process/cli/RequestCommand.java
@@ -2,6 +2,7 @@
 
 import io.foxtaildoor.common.ErrorKind;
 import io.foxtaildoor.common.FoxtaildoorException;
+import io.foxtaildoor.common.HeaderNames;
 import java.io.IOException;
 import java.io.PrintStream;
 import java.net.URI;
@@ -48,7 +49,7 @@
         .map()
         .forEach(
             (name, values) -> {
-              if (name.startsWith("foxtaildoor-")) {
+              if (name.startsWith(HeaderNames.PREFIX)) {
                 out.printf("  %s: %s%n", name, String.join(", ", values));
               }
             });
--- a/product/src/main/java/io/foxtaildoor/process/load/AnswerHandler.java
+++ b/product/src/main/java/io/foxtaildoor/process/load/AnswerHandler.java
@@ -1,5 +1,6 @@
 package io.foxtaildoor.process.load;
 
+import io.foxtaildoor.common.HeaderNames;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
@@ -13,9 +14,6 @@
   /** Header by which an answer is matched with its request. */
   static final String ECHO_HEADER = "x-echo-id";
 
-  private static final String ERROR_HEADER = "foxtaildoor-error";
-  private static final String OUTCOME_HEADER = "foxtaildoor-outcome";
-
   private final ConnectionPool pool;
 
   AnswerHandler(ConnectionPool pool) {
@@ -32,8 +30,8 @@
     StreamRecorder.Answer answer =
         new StreamRecorder.Answer(
             response.status().code(),
-            headers.get(ERROR_HEADER),
-            headers.get(OUTCOME_HEADER),
+            headers.get(HeaderNames.ERROR),
+            headers.get(HeaderNames.OUTCOME),
             headers.get(ECHO_HEADER));
     pool.onAnswer(context.channel(), answer, HttpUtil.isKeepAlive(response));
   }
