--- a/product/src/main/java/io/foxtaildoor/process/node/Node.java
+++ b/product/src/main/java/io/foxtaildoor/process/node/Node.java
@@ -139,15 +139,13 @@
     OperatorRouter router = new OperatorRouter();
     audit =
         new AuditTrail(
-            control.platform().interactive(),
-            EventLoops.delayer(context.group()),
-            AuditSettings.defaults());
+            control.platform().interactive(), context.scheduler(), AuditSettings.defaults());
     ApprovalService approvals =
         new ApprovalService(
             new ApprovalEnvironment(
                 control.platform().interactive(),
                 audit,
-                EventLoops.delayer(context.group()),
+                context.scheduler(),
                 context.worker(),
                 System::currentTimeMillis,
                 context.random(),
