Add the cost experiment and a discarded warm-up of the ranks experiment

The first case of ranks ran while the generator and the nodes still loaded classes: its own event loops were 4.6 s late at the 99th percentile and nearly no request was answered in time.

--- /dev/null
+++ b/experiments/src/main/java/io/foxtaildoor/experiments/CostExperiment.java
@@ -0,0 +1,112 @@
+package io.foxtaildoor.experiments;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Memory, processor time and start of a node, for several sets of JVM flags. */
+final class CostExperiment implements Experiment {
+  private static final String OPTIONS_VARIABLE = "FOXTAILDOOR_JAVA_OPTS";
+
+  /** The flags of the launcher, to which the variants add theirs. */
+  private static final String LAUNCHER_FLAGS =
+      "-XX:+UseSerialGC -Xmx40m -Xss512k -XX:TieredStopAtLevel=1"
+          + " -XX:ReservedCodeCacheSize=24m -XX:+ExitOnOutOfMemoryError";
+
+  private static final int SLOTS = 9;
+  private static final int CONNECTIONS = 110;
+  private static final int DEADLINE_MILLIS = 2_000;
+  private static final double CALLS_PER_SECOND = 100;
+
+  /** An upstream announces itself as soon as it listens. */
+  private static final long ANNOUNCE_MILLIS = 2_000;
+
+  @Override
+  public void run(Options options, Report report) throws IOException {
+    Path archive = Files.createTempDirectory("foxtaildoor-archive").resolve("node.jsa");
+    try (Load load = new Load()) {
+      measure(options, report, load, "launcher", Map.of());
+      try (Mesh recording = mesh(options, "-XX:ArchiveClassesAtExit=" + archive)) {
+        // The archive then holds the classes of the request path as well.
+        firstRequestMillis(recording);
+      }
+      for (Map.Entry<String, String> variant : variants(archive).entrySet()) {
+        Map<String, String> environment =
+            Map.of(OPTIONS_VARIABLE, LAUNCHER_FLAGS + " " + variant.getValue());
+        measure(options, report, load, variant.getKey(), environment);
+      }
+    } finally {
+      Files.deleteIfExists(archive);
+      Files.deleteIfExists(archive.getParent());
+    }
+  }
+
+  private static Map<String, String> variants(Path archive) {
+    Map<String, String> variants = new LinkedHashMap<>();
+    variants.put("class-data archive", "-XX:SharedArchiveFile=" + archive);
+    variants.put("heap of 24 MB", "-Xmx24m");
+    return variants;
+  }
+
+  private static Mesh mesh(Options options, String flags) throws IOException {
+    return new Mesh(options, Map.of(OPTIONS_VARIABLE, LAUNCHER_FLAGS + " " + flags), "");
+  }
+
+  private static void measure(
+      Options options, Report report, Load load, String variant, Map<String, String> environment)
+      throws IOException {
+    try (Mesh mesh = new Mesh(options, environment, "")) {
+      double firstRequest = firstRequestMillis(mesh);
+      NodeProcess node = mesh.nodes().get(0);
+      long pid = node.process().pid();
+      long before = ProcFiles.processorMillis(pid);
+      Pause.millis(Duration.ofSeconds(options.seconds).toMillis());
+      double idle = share(ProcFiles.processorMillis(pid) - before, options.seconds);
+      long idleMemory = ProcFiles.residentKilobytes(pid);
+      long beforeLoad = ProcFiles.processorMillis(pid);
+      long start = System.nanoTime();
+      load.run(
+          options,
+          CONNECTIONS,
+          List.of(
+              Load.stream(
+                  "calls",
+                  node.caller(),
+                  "URGENT",
+                  CALLS_PER_SECOND,
+                  Duration.ofMillis(DEADLINE_MILLIS))));
+      double seconds = (System.nanoTime() - start) / 1e9;
+      report.add(
+          new Report.Row()
+              .put("nodes", mesh.nodes().size())
+              .put("variant", variant)
+              .put("listeningMillis", node.listeningMillis())
+              .put("firstRequestMillis", firstRequest)
+              .put("idleCorePercent", idle)
+              .put("idleResidentKilobytes", idleMemory)
+              .put("loadedCorePercent", share(ProcFiles.processorMillis(pid) - beforeLoad, seconds))
+              .put("loadedResidentKilobytes", ProcFiles.residentKilobytes(pid)));
+    }
+  }
+
+  /** Starts one node with its upstream and returns the duration of the first request. */
+  private static double firstRequestMillis(Mesh mesh) throws IOException {
+    mesh.startNodes(1);
+    mesh.createOperator();
+    mesh.bringIntoForce(Questionnaires.bookings(DEADLINE_MILLIS));
+    mesh.startUpstreams(SLOTS, mesh.nodes());
+    NodeProcess node = mesh.nodes().get(0);
+    Pause.millis(ANNOUNCE_MILLIS);
+    long start = System.nanoTime();
+    Http.first(node.caller(), "bookings.pamoja", "/urgent/table");
+    return (System.nanoTime() - start) / 1e6;
+  }
+
+  private static double share(long processorMillis, double seconds) {
+    return processorMillis / (seconds * 10);
+  }
+}
--- a/experiments/src/main/java/io/foxtaildoor/experiments/Http.java
+++ b/experiments/src/main/java/io/foxtaildoor/experiments/Http.java
@@ -3,10 +3,13 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -51,6 +54,24 @@
     }
   }
 
+  /**
+   * Makes one request on a new connection without the start-up of a client library.
+   *
+   * @throws IllegalStateException when the answer is not 200
+   */
+  static void first(int port, String host, String path) throws IOException {
+    try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+      socket.setSoTimeout((int) TIMEOUT.toMillis());
+      String request = "GET " + path + " HTTP/1.1\r\nHost: " + host + "\r\n\r\n";
+      socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+      byte[] status = socket.getInputStream().readNBytes("HTTP/1.1 200".length());
+      String line = new String(status, StandardCharsets.US_ASCII);
+      if (!line.endsWith(" 200")) {
+        throw new IllegalStateException("first request answered " + line);
+      }
+    }
+  }
+
   /** Starts a call; the text is empty when it fails. */
   CompletableFuture<String> text(int port, String path) {
     return client
--- a/experiments/src/main/java/io/foxtaildoor/experiments/NodeProcess.java
+++ b/experiments/src/main/java/io/foxtaildoor/experiments/NodeProcess.java
@@ -7,7 +7,9 @@
 final class NodeProcess {
   private final String name;
   private final ChildProcess process;
+  private final long startedNanos = System.nanoTime();
   private Map<String, Integer> ports = Map.of();
+  private double listeningMillis;
 
   NodeProcess(String name, ChildProcess process) {
     this.name = name;
@@ -27,6 +29,7 @@
         process.awaitPorts().stream()
             .map(line -> line.split("=", 2))
             .collect(Collectors.toMap(pair -> pair[0], pair -> Integer.valueOf(pair[1])));
+    listeningMillis = (System.nanoTime() - startedNanos) / 1e6;
   }
 
   /** Whether the ports are known; a restarted node has none until its port file is read. */
@@ -34,6 +37,11 @@
     return !ports.isEmpty();
   }
 
+  /** Time from the start of the process to its port file, to about 5 ms. */
+  double listeningMillis() {
+    return listeningMillis;
+  }
+
   int caller() {
     return ports.get("caller");
   }
--- a/experiments/src/main/java/io/foxtaildoor/experiments/RanksExperiment.java
+++ b/experiments/src/main/java/io/foxtaildoor/experiments/RanksExperiment.java
@@ -39,6 +39,10 @@
       prepare(ranks);
       prepare(baseline);
       Pause.millis(WARM_UP_MILLIS);
+      // Rows of the warm-up are not reported: fresh processes still load and compile classes.
+      Report warmUp = new Report("warm-up");
+      measure(options, warmUp, load, CASES.get(0), ranks, "ranks");
+      measure(options, warmUp, load, CASES.get(0), baseline, "fifo+round-robin");
       for (Case flood : CASES) {
         measure(options, report, load, flood, ranks, "ranks");
         measure(options, report, load, flood, baseline, "fifo+round-robin");
