Add an experiment on one node with the configuration and membership of the design size

Cause: docs/CAPACITY.md needs the memory of a real node that holds 810 services and 12,000 records. Change: experiment fleet; configuration through the platform, records through gossip datagrams. Conclusion: not run yet.

--- a/experiments/src/main/java/io/foxtaildoor/experiments/Main.java
+++ b/experiments/src/main/java/io/foxtaildoor/experiments/Main.java
@@ -13,6 +13,7 @@
           Map.of(
               "added-latency", new AddedLatencyExperiment(),
               "convergence", new ConvergenceExperiment(),
+              "fleet", new FleetExperiment(),
               "cost", new CostExperiment(),
               "ranks", new RanksExperiment()));
 
--- a/experiments/src/main/java/io/foxtaildoor/experiments/Mesh.java
+++ b/experiments/src/main/java/io/foxtaildoor/experiments/Mesh.java
@@ -7,6 +7,7 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Base64;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -258,6 +259,12 @@
     return Map.of("Authorization", "Bearer " + CREDENTIALS);
   }
 
+  /** Writes a key of the platform that is absent. */
+  void putPlatformValue(String key, byte[] value) {
+    String body = "{\"value\":\"" + Base64.getEncoder().encodeToString(value) + "\"}";
+    http.call("PUT", platformPort, "/kv/" + key + "?expected=0", Map.of(), body);
+  }
+
   /** Sets faults of the platform and returns its report. */
   JsonNode platform(String document) {
     return http.call("POST", controlPort, "/control", Map.of(), document);
