Use one form of problem documents

Callers got type urn:foxtaildoor:error:<kind> and the constant's name as title, operators /problems/<kind> and the kind in words. ProblemDocuments now builds on Problem and adds the request id, so callers also get the kind.

--- a/product/src/main/java/io/foxtaildoor/connection/caller/ProblemDocuments.java
+++ b/product/src/main/java/io/foxtaildoor/connection/caller/ProblemDocuments.java
@@ -5,6 +5,7 @@
 import io.foxtaildoor.common.ErrorKind;
 import io.foxtaildoor.common.HeaderNames;
 import io.foxtaildoor.common.Outcome;
+import io.foxtaildoor.common.Problem;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -13,19 +14,14 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.nio.charset.StandardCharsets;
 
-/** Error answers as RFC 9457 problem documents. */
+/** Error answers as problem documents with the id of the request. */
 final class ProblemDocuments {
   private static final ObjectMapper MAPPER = new ObjectMapper();
 
   private ProblemDocuments() {}
 
   static FullHttpResponse of(ErrorKind kind, Outcome outcome, String detail, String requestId) {
-    ObjectNode document = MAPPER.createObjectNode();
-    document.put("type", "urn:foxtaildoor:error:" + kind.headerValue());
-    document.put("title", kind.name());
-    document.put("status", kind.status());
-    document.put("detail", detail);
-    document.put("outcome", outcome.headerValue());
+    ObjectNode document = MAPPER.valueToTree(Problem.of(kind, outcome, detail));
     document.put("requestId", requestId);
     byte[] content = document.toString().getBytes(StandardCharsets.UTF_8);
     FullHttpResponse response =
@@ -35,7 +31,7 @@
             Unpooled.wrappedBuffer(content));
     response
         .headers()
-        .set(HttpHeaderNames.CONTENT_TYPE, "application/problem+json")
+        .set(HttpHeaderNames.CONTENT_TYPE, Problem.CONTENT_TYPE)
         .set(HttpHeaderNames.CONTENT_LENGTH, content.length)
         .set(HeaderNames.ERROR, kind.headerValue())
         .set(HeaderNames.OUTCOME, outcome.headerValue())
