Find nodes of other data centres through one platform key

Cause: a reader publishes only under the key of its data centre and a node reads only that key, so two data centres without configured contacts never found each other.

Change: readers refresh contacts/mesh (at most 64 addresses, 4 of each data centre) once a minute with at most two calls and hand the addresses to membership, which probes the unknown ones. Addresses of a reader's own data centre that are not known to be alive are removed. A node that knows no other reads both keys in turn; its first look is at a random time of 15 s, so 12,000 nodes make 800 reads/s (computed, not measured).

Conclusion: MeshContactsTest shows it against the platform stand-in with a fake fleet view and simulated time.

--- a/product/src/main/java/io/foxtaildoor/process/node/ControlPlane.java
+++ b/product/src/main/java/io/foxtaildoor/process/node/ControlPlane.java
@@ -18,6 +18,7 @@
 import io.foxtaildoor.process.membership.NodeStatus;
 import io.foxtaildoor.process.platform.ContactDirectory;
 import io.foxtaildoor.process.platform.HttpPlatformClient;
+import io.foxtaildoor.process.platform.MeshDirectory;
 import io.foxtaildoor.process.platform.ReaderService;
 import io.foxtaildoor.process.platform.ReaderSettings;
 import io.foxtaildoor.process.settings.Settings;
@@ -29,8 +30,10 @@
 import io.netty.util.concurrent.EventExecutor;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import java.util.stream.Stream;
@@ -53,6 +56,8 @@
   private final ReaderService readers;
   private final EventExecutor controlThread;
   private final ContactDirectory contacts;
+  private final MeshDirectory meshContacts;
+  private boolean readMesh;
   private volatile boolean stopping;
 
   /**
@@ -106,7 +111,9 @@
             distributor,
             control,
             context.clock(),
-            context.random());
+            context.random(),
+            this::contactsFound);
+    meshContacts = new MeshDirectory(platform);
     contacts = new ContactDirectory(platform, readerSettings.contacts());
   }
 
@@ -169,24 +176,34 @@
   /**
    * Adds the platform's contacts to those of the settings while the node knows no other node, so
    * that either source alone is enough to join.
+   *
+   * <p>The contacts of the node's data centre and those of the mesh are read in turn. The first
+   * look is at a random time of the interval, so 12,000 nodes make 800 reads/s, where the platform
+   * takes 2,000 reads/s.
    */
   private void refreshContacts() {
     if (stopping) {
       return;
     }
     if (membership.nodes().size() <= 1) {
-      contacts
-          .read(context.settings().get(DATA_CENTRE))
-          .thenAccept(
-              found ->
-                  membership.setContacts(
-                      Stream.concat(context.settings().get(CONTACTS).stream(), found.stream())
-                          .distinct()
-                          .toList()));
+      CompletableFuture<List<InetSocketAddress>> read =
+          readMesh ? meshContacts.read() : contacts.read(context.settings().get(DATA_CENTRE));
+      readMesh = !readMesh;
+      CompletableFuture<Void> unused = read.thenAccept(this::contactsFound);
     }
     context.scheduler().schedule(CONTACT_INTERVAL.toNanos(), this::refreshContacts);
   }
 
+  /** Keeps the contacts of the settings first; an empty result leaves the former ones in use. */
+  private void contactsFound(List<InetSocketAddress> found) {
+    if (!found.isEmpty()) {
+      membership.setContacts(
+          Stream.concat(context.settings().get(CONTACTS).stream(), found.stream())
+              .distinct()
+              .toList());
+    }
+  }
+
   /** Handlers of control frames; the control plane may be created after the listener is bound. */
   static Map<Frame.BodyCase, ControlHandler> controlHandlers(Supplier<ControlPlane> control) {
     ControlHandler distribution = frame -> control.get().distributor.handle(frame);
--- a/product/src/main/java/io/foxtaildoor/process/platform/ContactDirectory.java
+++ b/product/src/main/java/io/foxtaildoor/process/platform/ContactDirectory.java
@@ -88,7 +88,7 @@
         .toList();
   }
 
-  private static Optional<InetSocketAddress> parseLine(String line) {
+  static Optional<InetSocketAddress> parseLine(String line) {
     int colon = line.lastIndexOf(':');
     if (colon < 0 || !line.substring(colon + 1).matches("[0-9]{1,5}")) {
       return Optional.empty();
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/process/platform/MeshDirectory.java
@@ -0,0 +1,128 @@
+package io.foxtaildoor.process.platform;
+
+import io.foxtaildoor.common.DataCentreId;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Predicate;
+
+/**
+ * Addresses for joining in all data centres under {@code contacts/mesh}: one {@code <data centre>
+ * <address:port>} a line, the newest first. Through this key data centres without configured
+ * contacts find each other.
+ */
+public final class MeshDirectory {
+  /** Most addresses in the key. */
+  static final int MAX_ADDRESSES = 64;
+
+  /** Most addresses of one data centre; 11 data centres take 44 of the {@value #MAX_ADDRESSES}. */
+  static final int MAX_PER_DATA_CENTRE = 4;
+
+  private static final String KEY = "contacts/mesh";
+
+  private final PlatformClient client;
+
+  private record Contact(String dataCentre, InetSocketAddress address) {
+    static Optional<Contact> parse(String line) {
+      int space = line.indexOf(' ');
+      return space <= 0
+          ? Optional.empty()
+          : ContactDirectory.parseLine(line.substring(space + 1))
+              .map(address -> new Contact(line.substring(0, space), address));
+    }
+
+    String format() {
+      return dataCentre
+          + " "
+          + address.getAddress().getHostAddress()
+          + ":"
+          + address.getPort()
+          + "\n";
+    }
+  }
+
+  /** Creates a directory on a platform. */
+  public MeshDirectory(PlatformClient client) {
+    this.client = client;
+  }
+
+  /** Reads all addresses with one call; empty when the platform does not answer. */
+  public CompletableFuture<List<InetSocketAddress>> read() {
+    return client.get(KEY).thenApply(result -> addresses(contacts(result)));
+  }
+
+  /**
+   * Reads all addresses, and writes this node's address and removes those of its data centre that
+   * are not alive, when that changes anything. Makes at most two calls; a failed or conflicting
+   * write is left to the next refresh.
+   *
+   * @return the addresses before the change
+   */
+  CompletableFuture<List<InetSocketAddress>> refresh(
+      DataCentreId dataCentre, InetSocketAddress self, Predicate<InetSocketAddress> alive) {
+    return client
+        .get(KEY)
+        .thenCompose(
+            result -> {
+              List<Contact> present = contacts(result);
+              CompletableFuture<List<InetSocketAddress>> found =
+                  CompletableFuture.completedFuture(addresses(present));
+              List<Contact> next = next(present, dataCentre.value(), self, alive);
+              if (!(result instanceof PlatformResult.Done<PlatformEntry> done)
+                  || next.equals(present)) {
+                return found;
+              }
+              return client
+                  .compareAndSet(KEY, done.value().revision(), format(next))
+                  .thenCompose(written -> found);
+            });
+  }
+
+  private static List<Contact> next(
+      List<Contact> present,
+      String dataCentre,
+      InetSocketAddress self,
+      Predicate<InetSocketAddress> alive) {
+    List<Contact> next = new ArrayList<>();
+    Contact own = new Contact(dataCentre, self);
+    if (!present.contains(own)) {
+      next.add(own);
+    }
+    int others = 0;
+    for (Contact contact : present) {
+      if (contact.equals(own) || !contact.dataCentre().equals(dataCentre)) {
+        next.add(contact);
+      } else if (others < MAX_PER_DATA_CENTRE - 1 && alive.test(contact.address())) {
+        next.add(contact);
+        others++;
+      }
+    }
+    return next.subList(0, Math.min(next.size(), MAX_ADDRESSES));
+  }
+
+  private static List<Contact> contacts(PlatformResult<PlatformEntry> result) {
+    if (!(result instanceof PlatformResult.Done<PlatformEntry> done)) {
+      return List.of();
+    }
+    return new String(done.value().value(), StandardCharsets.UTF_8)
+        .lines()
+        .map(Contact::parse)
+        .flatMap(Optional::stream)
+        .distinct()
+        .limit(MAX_ADDRESSES)
+        .toList();
+  }
+
+  private static List<InetSocketAddress> addresses(List<Contact> contacts) {
+    return contacts.stream().map(Contact::address).toList();
+  }
+
+  private static byte[] format(List<Contact> contacts) {
+    StringBuilder text = new StringBuilder();
+    contacts.forEach(contact -> text.append(contact.format()));
+    return text.toString().getBytes(StandardCharsets.UTF_8);
+  }
+}
--- a/product/src/main/java/io/foxtaildoor/process/platform/ReaderService.java
+++ b/product/src/main/java/io/foxtaildoor/process/platform/ReaderService.java
@@ -6,7 +6,9 @@
 import io.foxtaildoor.process.membership.FleetView;
 import io.foxtaildoor.process.membership.NodeRecord;
 import io.foxtaildoor.process.membership.NodeState;
+import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 
@@ -19,6 +21,8 @@
   private final TaskScheduler scheduler;
   private final LongSupplier clock;
   private final RandomGenerator random;
+  private final Consumer<List<InetSocketAddress>> contactsFound;
+  private MeshContacts meshContacts;
   private ReaderLeaseKeeper keeper;
   private ConfigurationReader reader;
 
@@ -29,6 +33,7 @@
    * @param scheduler one thread that serves no requests, because applying a version takes tens of
    *     milliseconds
    * @param clock monotonic nanoseconds
+   * @param contactsFound given the addresses of the whole mesh that a reader reads each minute
    * @param random safe for use by several threads
    */
   public ReaderService(
@@ -38,7 +43,8 @@
       PublishedConfiguration distributor,
       TaskScheduler scheduler,
       LongSupplier clock,
-      RandomGenerator random) {
+      RandomGenerator random,
+      Consumer<List<InetSocketAddress>> contactsFound) {
     this.fleet = fleet;
     this.settings = settings;
     this.client = client;
@@ -46,6 +52,7 @@
     this.scheduler = scheduler;
     this.clock = clock;
     this.random = random;
+    this.contactsFound = contactsFound;
   }
 
   /** Starts to take part in the election; called once, after the node has joined. */
@@ -67,8 +74,12 @@
             scheduler,
             clock,
             random);
+    meshContacts =
+        new MeshContacts(
+            new MeshDirectory(client), fleet, keeper::isReader, contactsFound, scheduler, random);
     keeper.start();
     reader.start();
+    meshContacts.start();
   }
 
   /** Whether this node is one of the config readers of its data centre. */
@@ -89,6 +100,7 @@
   @Override
   public void close() {
     if (keeper != null) {
+      meshContacts.close();
       reader.close();
       keeper.close();
     }
--- /dev/null
+++ b/product/src/test/java/io/foxtaildoor/process/platform/MeshContactsTest.java
@@ -0,0 +1,153 @@
+package io.foxtaildoor.process.platform;
+
+import static io.foxtaildoor.process.platform.HttpPlatformClientTest.await;
+import static io.foxtaildoor.process.platform.HttpPlatformClientTest.bytes;
+import static io.foxtaildoor.process.platform.HttpPlatformClientTest.done;
+import static io.foxtaildoor.process.platform.HttpPlatformClientTest.until;
+import static org.testng.Assert.assertEquals;
+
+import io.foxtaildoor.common.DataCentreId;
+import io.foxtaildoor.common.NodeId;
+import io.foxtaildoor.common.RegionId;
+import io.foxtaildoor.common.ServiceId;
+import io.foxtaildoor.process.membership.FleetView;
+import io.foxtaildoor.process.membership.NodeRecord;
+import io.foxtaildoor.process.membership.NodeState;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
+import org.testng.annotations.Test;
+
+/** Tests of {@link MeshDirectory} and {@link MeshContacts} against the stand-in. */
+public class MeshContactsTest extends HttpPlatformClientTest.WithStandIn {
+  private static final DataCentreId OSLO = new DataCentreId("oslo-a");
+  private static final DataCentreId KENYA = new DataCentreId("ke-central-a");
+
+  private static InetSocketAddress address(int port) {
+    return new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
+  }
+
+  private List<InetSocketAddress> refresh(DataCentreId dataCentre, int port, Integer... alive) {
+    Set<Integer> ports = Set.of(alive);
+    return await(
+        new MeshDirectory(client)
+            .refresh(dataCentre, address(port), other -> ports.contains(other.getPort())));
+  }
+
+  private List<InetSocketAddress> read() {
+    return await(new MeshDirectory(client).read());
+  }
+
+  /** Guards against data centres that never find each other. */
+  @Test
+  public void dataCentresFindEachOther() {
+    assertEquals(refresh(OSLO, 1), List.of());
+    assertEquals(refresh(KENYA, 2), List.of(address(1)));
+    assertEquals(refresh(OSLO, 1), List.of(address(2), address(1)));
+  }
+
+  /** Guards against stale addresses that stay, and a reader that removes those of others. */
+  @Test
+  public void addressesOfOwnDeadNodesAgeOut() {
+    refresh(KENYA, 9);
+    refresh(OSLO, 1);
+    refresh(OSLO, 2, 1);
+    assertEquals(read(), List.of(address(2), address(1), address(9)));
+    refresh(OSLO, 3, 2);
+    assertEquals(read(), List.of(address(3), address(2), address(9)));
+  }
+
+  /** Guards against a key that grows without bound, by readers or by a damaged value. */
+  @Test
+  public void numberOfAddressesIsBounded() {
+    for (int port = 1; port <= 9; port++) {
+      refresh(OSLO, port, 1, 2, 3, 4, 5, 6, 7, 8, 9);
+    }
+    assertEquals(read(), List.of(address(9), address(8), address(7), address(6)));
+    StringBuilder value = new StringBuilder("malformed\noslo-a x\n");
+    for (int port = 100; port < 200; port++) {
+      value.append("dc-").append(port).append(" 127.0.0.1:").append(port).append('\n');
+    }
+    long revision = done(client.get("contacts/mesh")).revision();
+    done(client.compareAndSet("contacts/mesh", revision, bytes(value.toString())));
+    refresh(OSLO, 1);
+    assertEquals(read().size(), MeshDirectory.MAX_ADDRESSES);
+    assertEquals(read().get(0), address(1));
+  }
+
+  /** Guards against more calls than a reader's budget, also while the platform is down. */
+  @Test
+  public void refreshMakesAtMostTwoCalls() {
+    refresh(OSLO, 1);
+    assertEquals(platform.calls("get"), 1);
+    refresh(OSLO, 1);
+    assertEquals(platform.calls("get"), 2);
+    long writes = done(client.get("contacts/mesh")).revision();
+    refresh(OSLO, 1);
+    assertEquals(done(client.get("contacts/mesh")).revision(), writes);
+    platform.control("{\"down\":\"refused\"}");
+    assertEquals(refresh(OSLO, 2), List.of());
+  }
+
+  /** Guards against calls by every node of the fleet, and by a reader more than once a minute. */
+  @Test
+  public void onlyAReaderRefreshesAndOnlyOnceAMinute() {
+    SimulatedTime time = new SimulatedTime();
+    List<List<InetSocketAddress>> found = new CopyOnWriteArrayList<>();
+    AtomicBoolean reader = new AtomicBoolean();
+    MeshDirectory directory = new MeshDirectory(client);
+    Lone fleet = new Lone();
+    new MeshContacts(directory, fleet, reader::get, found::add, time, new Random(1)).start();
+    time.advance(TimeUnit.MINUTES.toNanos(10));
+    assertEquals(platform.control("{}").path("calls").size(), 0);
+    reader.set(true);
+    time.advance(TimeUnit.SECONDS.toNanos(2));
+    until(() -> found.size() == 1);
+    time.advance(TimeUnit.SECONDS.toNanos(57));
+    time.advance(TimeUnit.SECONDS.toNanos(60));
+    until(() -> found.size() == 2);
+    assertEquals(found, List.of(List.of(), List.of(address(7))));
+    assertEquals(platform.calls("get"), 2);
+    assertEquals(platform.calls("put"), 1);
+  }
+
+  /** A node that knows no other. */
+  private static final class Lone implements FleetView {
+    @Override
+    public NodeRecord self() {
+      return new NodeRecord(
+          new NodeId("n1"),
+          address(7),
+          new RegionId("oslo"),
+          OSLO,
+          1,
+          NodeState.ALIVE,
+          Optional.empty());
+    }
+
+    @Override
+    public List<NodeRecord> nodes() {
+      return List.of(self());
+    }
+
+    @Override
+    public Optional<NodeRecord> node(NodeId id) {
+      return Optional.empty();
+    }
+
+    @Override
+    public List<NodeRecord> upstreams(ServiceId service) {
+      return List.of();
+    }
+
+    @Override
+    public void addListener(Consumer<NodeRecord> listener) {}
+  }
+}
