--- a/product/src/test/java/io/foxtaildoor/process/platform/MeshContactsTest.java
+++ b/product/src/test/java/io/foxtaildoor/process/platform/MeshContactsTest.java
@@ -99,7 +99,7 @@
   /** Guards against calls by every node of the fleet, and by a reader more than once a minute. */
   @Test
   public void onlyAReaderRefreshesAndOnlyOnceAMinute() {
-    SimulatedTime time = new SimulatedTime();
+    VirtualTime time = new VirtualTime();
     List<List<InetSocketAddress>> found = new CopyOnWriteArrayList<>();
     AtomicBoolean reader = new AtomicBoolean();
     MeshDirectory directory = new MeshDirectory(client);
