Record when a version is in force everywhere; quiet stop of the config reader

Cause: the audit trail had no entry for the application of a version. A process test found an ERROR of the config reader at a planned stop, because its control thread ended before the event loops whose calls complete on it.

--- a/product/src/main/java/io/foxtaildoor/process/node/ControlPlane.java
+++ b/product/src/main/java/io/foxtaildoor/process/node/ControlPlane.java
@@ -248,6 +248,10 @@
     distributor.close();
     caller.close();
     platform.close();
+  }
+
+  /** Ends the control thread; the event loops, whose calls complete on it, must have ended. */
+  void endThread() {
     controlThread.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
   }
 }
--- a/product/src/main/java/io/foxtaildoor/process/node/Node.java
+++ b/product/src/main/java/io/foxtaildoor/process/node/Node.java
@@ -16,6 +16,7 @@
 import io.foxtaildoor.process.audit.AuditTrail;
 import io.foxtaildoor.process.invariant.Invariant;
 import io.foxtaildoor.process.invariant.Invariants;
+import io.foxtaildoor.process.operator.ApplicationAudit;
 import io.foxtaildoor.process.operator.ApprovalResources;
 import io.foxtaildoor.process.operator.ConfigurationResources;
 import io.foxtaildoor.process.operator.HealthResources;
@@ -35,6 +36,7 @@
 import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Executors;
@@ -152,8 +154,17 @@
                 control.holder()::current),
             ApprovalSettings.defaults(),
             control.distributor()::published);
-    new ApprovalResources(approvals).register(router);
-    new ConfigurationResources(control.holder()::current, control.membership()).register(router);
+    ConfigurationResources configuration =
+        new ConfigurationResources(control.holder()::current, control.membership());
+    configuration.register(router);
+    ApplicationAudit applications =
+        new ApplicationAudit(
+            configuration,
+            audit::record,
+            context.scheduler(),
+            System::currentTimeMillis,
+            () -> UUID.randomUUID().toString());
+    new ApprovalResources(approvals, applications::accepted).register(router);
     new UpstreamResource(settings.get(ADDRESS), localUpstream).register(router);
     new HealthResources(this::isReady, context.registry()).register(router);
     return router;
@@ -225,6 +236,7 @@
     operators.close();
     context.worker().shutdown();
     EventLoops.stop(context.group());
+    control.endThread();
     context.registry().close();
   }
 
--- a/product/src/main/java/io/foxtaildoor/process/operator/ApprovalResources.java
+++ b/product/src/main/java/io/foxtaildoor/process/operator/ApprovalResources.java
@@ -10,6 +10,7 @@
 import io.foxtaildoor.common.TeamId;
 import io.foxtaildoor.process.audit.AuditCursor;
 import io.foxtaildoor.process.audit.AuditTrail;
+import io.foxtaildoor.version.approval.ApprovalReceipt;
 import io.foxtaildoor.version.approval.ApprovalService;
 import io.foxtaildoor.version.approval.Operator;
 import io.foxtaildoor.version.approval.OperatorResult;
@@ -17,6 +18,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BiConsumer;
 import java.util.function.BiFunction;
 import java.util.function.Function;
 
@@ -26,10 +28,17 @@
   private static final int DEFAULT_PAGE = 50;
 
   private final ApprovalService service;
-
-  /** Creates the resources of a service. */
-  public ApprovalResources(ApprovalService service) {
+  private final BiConsumer<Operator, ApprovalReceipt> approved;
+
+  /**
+   * Creates the resources of a service.
+   *
+   * @param approved hears of each successful approval
+   */
+  public ApprovalResources(
+      ApprovalService service, BiConsumer<Operator, ApprovalReceipt> approved) {
     this.service = service;
+    this.approved = approved;
   }
 
   /** Adds the resources to a router. */
@@ -125,7 +134,13 @@
             : Optional.empty();
     return service
         .approve(operator, team(request), proposal, base)
-        .thenApply(result -> OperatorAnswers.of(result, ApprovalAnswer::of));
+        .thenApply(
+            result -> {
+              if (result instanceof OperatorResult.Done<ApprovalReceipt> done) {
+                approved.accept(operator, done.value());
+              }
+              return OperatorAnswers.of(result, ApprovalAnswer::of);
+            });
   }
 
   private CompletableFuture<OperatorResponse> audit(Operator operator, OperatorRequest request) {
--- a/product/src/main/java/io/foxtaildoor/process/operator/ConfigurationResources.java
+++ b/product/src/main/java/io/foxtaildoor/process/operator/ConfigurationResources.java
@@ -15,7 +15,7 @@
 import java.util.function.Supplier;
 
 /** The configuration in force on this node and on the fleet over HTTP. */
-public final class ConfigurationResources {
+public final class ConfigurationResources implements ApplicationAudit.Fleet {
   /** Time over which status requests to up to 100 nodes are spread and answered. */
   private static final Duration QUERY_BASE = Duration.ofMillis(300);
 
@@ -74,11 +74,18 @@
                     ErrorKind.NOT_FOUND, "no configuration of team " + team + " is in force"));
   }
 
+  @Override
+  public int size() {
+    return membership.nodes().size();
+  }
+
+  @Override
+  public CompletableFuture<List<StatusAnswer>> queryStatus() {
+    return membership.queryStatus(QUERY_BASE.plus(QUERY_PER_NODE.multipliedBy(size())));
+  }
+
   private CompletableFuture<OperatorResponse> status() {
-    Duration time = QUERY_BASE.plus(QUERY_PER_NODE.multipliedBy(membership.nodes().size()));
-    return membership
-        .queryStatus(time)
-        .thenApply(answers -> OperatorResponse.json(200, fleetStatus(answers)));
+    return queryStatus().thenApply(answers -> OperatorResponse.json(200, fleetStatus(answers)));
   }
 
   /** JSON form of the fleet's status; the version is the newest that any node holds. */
--- a/product/src/main/java/io/foxtaildoor/process/platform/ConfigurationReader.java
+++ b/product/src/main/java/io/foxtaildoor/process/platform/ConfigurationReader.java
@@ -107,7 +107,10 @@
         call.thenAcceptAsync(next, task -> scheduler.schedule(0, task))
             .exceptionally(
                 e -> {
-                  LOG.log(System.Logger.Level.ERROR, "a step of the config reader failed", e);
+                  // A pending watch fails when the client closes at a planned stop.
+                  if (!closed) {
+                    LOG.log(System.Logger.Level.ERROR, "a step of the config reader failed", e);
+                  }
                   later(backoff.failed(random));
                   return null;
                 });
--- /dev/null
+++ b/product/src/test/java/io/foxtaildoor/process/operator/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the operator interface. */
+package io.foxtaildoor.process.operator;
