--- a/product/src/main/java/io/foxtaildoor/common/ErrorKind.java
+++ b/product/src/main/java/io/foxtaildoor/common/ErrorKind.java
@@ -38,6 +38,8 @@
   OUTCOME_UNKNOWN(502, Outcome.UNKNOWN, Retry.IF_IDEMPOTENT, 4),
   /** The upstream's answer is malformed. */
   BAD_UPSTREAM_ANSWER(502, Outcome.UNKNOWN, Retry.IF_IDEMPOTENT, 1),
+  /** The upstream answered that it failed; told to nobody, as its own answer is passed on. */
+  UPSTREAM_FAILED(502, Outcome.UNKNOWN, Retry.IF_IDEMPOTENT, 1),
   /** The caller went away or cancelled. */
   CANCELLED(499, Outcome.UNKNOWN, Retry.NEVER, 1),
   /** The platform does not answer. */
--- a/product/src/main/java/io/foxtaildoor/connection/caller/Answer.java
+++ b/product/src/main/java/io/foxtaildoor/connection/caller/Answer.java
@@ -2,6 +2,7 @@
 
 import io.foxtaildoor.common.ErrorKind;
 import io.foxtaildoor.common.FoxtaildoorException;
+import io.foxtaildoor.common.HeaderDialect;
 import io.foxtaildoor.common.HeaderNames;
 import io.foxtaildoor.protocol.Header;
 import io.foxtaildoor.protocol.ResponseStart;
@@ -44,6 +45,7 @@
 
   private final Channel channel;
   private final CallerResponseEncoder encoder;
+  private final HeaderDialect names;
   private final boolean toHead;
   private final boolean http10;
   private boolean keepAlive;
@@ -55,11 +57,13 @@
   Answer(
       Channel channel,
       CallerResponseEncoder encoder,
+      HeaderDialect names,
       boolean toHead,
       boolean http10,
       boolean keepAlive) {
     this.channel = channel;
     this.encoder = encoder;
+    this.names = names;
     this.toHead = toHead;
     this.http10 = http10;
     this.keepAlive = keepAlive;
@@ -128,7 +132,7 @@
         headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
       }
     }
-    headers.set(HeaderNames.REQUEST_ID, requestId);
+    headers.set(names.requestId(), requestId);
     setConnection(headers);
     started = true;
     encoder.nextAnswer(toHead);
--- a/product/src/main/java/io/foxtaildoor/connection/caller/CallerConnection.java
+++ b/product/src/main/java/io/foxtaildoor/connection/caller/CallerConnection.java
@@ -2,6 +2,7 @@
 
 import io.foxtaildoor.common.ErrorKind;
 import io.foxtaildoor.common.FoxtaildoorException;
+import io.foxtaildoor.common.HeaderDialect;
 import io.foxtaildoor.common.Outcome;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
@@ -137,7 +138,7 @@
     boolean http10 = request.protocolVersion().equals(HttpVersion.HTTP_1_0);
     boolean keepAlive = requestOpen && HttpUtil.isKeepAlive(request) && !draining;
     boolean toHead = request.method().equals(HttpMethod.HEAD);
-    Answer answer = new Answer(channel, encoder, toHead, http10, keepAlive);
+    Answer answer = new Answer(channel, encoder, headers(), toHead, http10, keepAlive);
     try {
       if (!requestOpen) {
         ReferenceCountUtil.release(request);
@@ -145,7 +146,8 @@
             ErrorKind.INVALID_INPUT, "the request head is malformed or too large");
       }
       RequestHead head =
-          RequestHeadReader.read(request, dependencies.configuration().get(), newId(), now);
+          new RequestHeadReader(dependencies.protocol(), dependencies.random().get())
+              .read(request, dependencies.configuration().get(), newId(), now);
       RequestBody body =
           new RequestBody(
               head.hasBody(), head.route().maxBodyBytes(), settings.replayBytes(), replayMemory);
@@ -163,7 +165,8 @@
     dependencies.metrics().refused(reason.kind().headerValue());
     answer
         .writeError(
-            ProblemDocuments.of(reason.kind(), Outcome.NOT_RUN, reason.getMessage(), newId()))
+            new ProblemDocuments(dependencies.protocol())
+                .of(reason.kind(), Outcome.NOT_RUN, reason.getMessage(), newId()))
         .addListener(written -> answerFinished(null, written.isSuccess() && answer.isKeepAlive()));
   }
 
@@ -272,7 +275,7 @@
       return;
     }
     answerOpen = true;
-    Answer answer = new Answer(channel, encoder, false, false, false);
+    Answer answer = new Answer(channel, encoder, headers(), false, false, false);
     refuse(
         answer,
         new FoxtaildoorException(
@@ -297,6 +300,10 @@
     queue.clear();
   }
 
+  private HeaderDialect headers() {
+    return dependencies.protocol().headers();
+  }
+
   private String newId() {
     return HexFormat.of().toHexDigits(dependencies.random().get().nextLong())
         + HexFormat.of().toHexDigits(dependencies.random().get().nextLong());
--- a/product/src/main/java/io/foxtaildoor/connection/caller/CallerDependencies.java
+++ b/product/src/main/java/io/foxtaildoor/connection/caller/CallerDependencies.java
@@ -20,6 +20,7 @@
  * @param random generator of the calling thread
  */
 public record CallerDependencies(
+    CallerProtocol protocol,
     Supplier<HeldConfiguration> configuration,
     FleetView fleet,
     LinkClient links,
--- a/product/src/main/java/io/foxtaildoor/connection/caller/Dispatcher.java
+++ b/product/src/main/java/io/foxtaildoor/connection/caller/Dispatcher.java
@@ -24,7 +24,7 @@
   Dispatcher(CallerDependencies dependencies, RequestHead head) {
     this.dependencies = dependencies;
     this.head = head;
-    this.service = head.route().service();
+    this.service = head.service();
   }
 
   /** Whether a request may be sent to another instance than those tried. */
--- a/product/src/main/java/io/foxtaildoor/connection/caller/Exchange.java
+++ b/product/src/main/java/io/foxtaildoor/connection/caller/Exchange.java
@@ -32,6 +32,7 @@
   private ScheduledFuture<?> deadline;
   private Attempt current;
   private int attempts;
+  private int arrivals;
   private boolean mayHaveRun;
   private boolean answerEnded;
   private boolean done;
@@ -59,7 +60,7 @@
   /** Starts the deadline and sends the head. */
   void begin() {
     dependencies.metrics().began();
-    dependencies.retryBudgets().of(head.route().service(), receivedNanos).requested(receivedNanos);
+    dependencies.retryBudgets().of(head.service(), receivedNanos).requested(receivedNanos);
     long remaining = head.deadlineNanos() - now();
     if (remaining <= 0) {
       fail(ErrorKind.EXPIRED, true, "the deadline passed before the request was sent");
@@ -165,8 +166,12 @@
     if (start.hasLoad()) {
       report(attempt, start.getLoad());
     }
+    arrivals++;
     try {
       checkBelongs(start);
+      if (isRepeatedInstead(attempt, start)) {
+        return;
+      }
       answer.start(start, head.requestId());
     } catch (FoxtaildoorException e) {
       attempt.stream().cancel(e.getMessage());
@@ -180,6 +185,32 @@
     dependencies.metrics().added(addedNanos + now() - arrived);
   }
 
+  /**
+   * Sends the request to another instance instead of passing on the failure that its upstream
+   * answered; only for idempotent work of a route that states how many upstreams may be tried.
+   */
+  private boolean isRepeatedInstead(Attempt attempt, ResponseStart start) {
+    boolean failed = FailureTable.result(start.getStatus()) == AttemptResult.FAILED;
+    if (!failed || head.route().maxAttempts() == 0 || !dispatcher.hasUntried()) {
+      return false;
+    }
+    if (!sendsAgain(attempt, ErrorKind.UPSTREAM_FAILED, false)) {
+      return false;
+    }
+    attempt.stream().cancel("the request is sent to another instance");
+    finishSelection(attempt, AttemptResult.FAILED);
+    mayHaveRun = true;
+    sendAgain();
+    return true;
+  }
+
+  private void sendAgain() {
+    current = null;
+    dependencies.metrics().retried();
+    dispatch();
+    connection.updateReading();
+  }
+
   /** Refuses an answer that names another request, or that comes where no answer is due. */
   private void checkBelongs(ResponseStart start) {
     boolean expected = connection.isCurrent(this) && !answer.isStarted();
@@ -252,6 +283,7 @@
     if (failure.hasLoad()) {
       report(attempt, failure.getLoad());
     }
+    arrivals += failure.getArrived() || !failure.getNotRun() ? 1 : 0;
     attemptFailed(attempt, FailureTable.kind(failure), failure.getNotRun(), failure.getDetail());
   }
 
@@ -264,9 +296,7 @@
     }
     mayHaveRun |= !notRun;
     if (dispatcher.hasUntried() && sendsAgain(attempt, kind, notRun)) {
-      dependencies.metrics().retried();
-      dispatch();
-      connection.updateReading();
+      sendAgain();
     } else {
       fail(kind, notRun, detail);
     }
@@ -281,13 +311,13 @@
             head.route().idempotent(),
             head.message().getDepth(),
             attempt.number(),
+            arrivals,
+            head.route().maxAttempts(),
             head.deadlineNanos() - now,
             body.isReplayable());
     return dependencies
         .retryPolicy()
-        .decide(
-            failure,
-            () -> dependencies.retryBudgets().of(head.route().service(), now).tryRetry(now))
+        .decide(failure, () -> dependencies.retryBudgets().of(head.service(), now).tryRetry(now))
         .sendsAgain();
   }
 
@@ -348,7 +378,9 @@
         nothingSent || outcome == Outcome.NOT_RUN ? Ending.NOT_RUN : Ending.UNKNOWN);
     closeUnlessDiscardable();
     answer
-        .writeError(ProblemDocuments.of(told, outcome, detail, head.requestId()))
+        .writeError(
+            new ProblemDocuments(dependencies.protocol())
+                .of(told, outcome, detail, head.requestId()))
         .addListener(
             written ->
                 connection.answerFinished(this, written.isSuccess() && answer.isKeepAlive()));
@@ -371,9 +403,7 @@
     }
     body.release();
     dispatcher.ended(ending, now());
-    dependencies
-        .metrics()
-        .ended(head.route().service().value(), head.route().rank().name(), result);
+    dependencies.metrics().ended(head.service().value(), head.route().rank().name(), result);
   }
 
   private void finishSelection(Attempt attempt, AttemptResult result) {
--- a/product/src/main/java/io/foxtaildoor/connection/caller/ProblemDocuments.java
+++ b/product/src/main/java/io/foxtaildoor/connection/caller/ProblemDocuments.java
@@ -12,15 +12,31 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
+import java.math.BigDecimal;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 
 /** Error answers as problem documents with the id of the request. */
 final class ProblemDocuments {
   private static final ObjectMapper MAPPER = new ObjectMapper();
 
-  private ProblemDocuments() {}
+  private final CallerProtocol protocol;
 
-  static FullHttpResponse of(ErrorKind kind, Outcome outcome, String detail, String requestId) {
+  ProblemDocuments(CallerProtocol protocol) {
+    this.protocol = protocol;
+  }
+
+  FullHttpResponse of(ErrorKind kind, Outcome outcome, String detail, String requestId) {
+    return of(kind, outcome, detail, requestId, protocol.retryAfter());
+  }
+
+  /**
+   * Makes an answer.
+   *
+   * @param retryAfter wait that a refusal as not run asks of the caller; zero for none
+   */
+  FullHttpResponse of(
+      ErrorKind kind, Outcome outcome, String detail, String requestId, Duration retryAfter) {
     ObjectNode document = MAPPER.valueToTree(Problem.of(kind, outcome, detail));
     document.put("requestId", requestId);
     byte[] content = document.toString().getBytes(StandardCharsets.UTF_8);
@@ -35,7 +51,15 @@
         .set(HttpHeaderNames.CONTENT_LENGTH, content.length)
         .set(HeaderNames.ERROR, kind.headerValue())
         .set(HeaderNames.OUTCOME, outcome.headerValue())
-        .set(HeaderNames.REQUEST_ID, requestId);
+        .set(protocol.headers().requestId(), requestId);
+    if (kind.status() == HttpResponseStatus.SERVICE_UNAVAILABLE.code() && !retryAfter.isZero()) {
+      response.headers().set(HttpHeaderNames.RETRY_AFTER, seconds(retryAfter));
+    }
     return response;
   }
+
+  /** Seconds with three decimals. */
+  private static String seconds(Duration duration) {
+    return BigDecimal.valueOf(duration.toMillis(), 3).toPlainString();
+  }
 }
--- a/product/src/main/java/io/foxtaildoor/connection/caller/RequestHead.java
+++ b/product/src/main/java/io/foxtaildoor/connection/caller/RequestHead.java
@@ -1,5 +1,6 @@
 package io.foxtaildoor.connection.caller;
 
+import io.foxtaildoor.common.ServiceId;
 import io.foxtaildoor.protocol.RequestStart;
 import io.foxtaildoor.version.routing.Route;
 
@@ -7,6 +8,7 @@
  * A checked request head with its route.
  *
  * @param message what is sent to the other node, without remaining time and attempt
+ * @param service the service that this request goes to
  * @param deadlineNanos monotonic time of the deadline
  * @param hasBody whether a body, possibly an empty chunked one, follows
  * @param hasSmallBody whether a body of known, small length follows without waiting for a 100
@@ -15,6 +17,7 @@
 record RequestHead(
     RequestStart message,
     Route route,
+    ServiceId service,
     long deadlineNanos,
     boolean hasBody,
     boolean hasSmallBody,
--- a/product/src/main/java/io/foxtaildoor/connection/caller/RequestHeadReader.java
+++ b/product/src/main/java/io/foxtaildoor/connection/caller/RequestHeadReader.java
@@ -4,6 +4,7 @@
 import io.foxtaildoor.common.FoxtaildoorException;
 import io.foxtaildoor.common.HeaderNames;
 import io.foxtaildoor.common.Rank;
+import io.foxtaildoor.common.ServiceId;
 import io.foxtaildoor.protocol.Header;
 import io.foxtaildoor.protocol.RequestStart;
 import io.foxtaildoor.protocol.WireRank;
@@ -22,6 +23,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
 import java.util.regex.Pattern;
 
 /** Checks the head of a request and finds its route in one version; no I/O, no clock. */
@@ -33,7 +35,18 @@
   private static final Pattern REQUEST_ID = Pattern.compile("[A-Za-z0-9._~:+/=-]{1,128}");
   private static final Pattern KEY = Pattern.compile("[\\x21-\\x7e]{1,255}");
 
-  private RequestHeadReader() {}
+  private final CallerProtocol protocol;
+  private final RandomGenerator random;
+
+  /**
+   * Creates a reader.
+   *
+   * @param random chooses among the services of a split
+   */
+  RequestHeadReader(CallerProtocol protocol, RandomGenerator random) {
+    this.protocol = protocol;
+    this.random = random;
+  }
 
   /**
    * Reads a head.
@@ -41,7 +54,7 @@
    * @param newId id for a request without one
    * @throws FoxtaildoorException with the kind of the refusal; the request has not run
    */
-  static RequestHead read(
+  RequestHead read(
       HttpRequest request, HeldConfiguration configuration, String newId, long nowNanos) {
     checkFraming(request);
     HttpHeaders headers = request.headers();
@@ -49,11 +62,13 @@
     int depth = number(headers, HeaderNames.DEPTH, 0);
     require(depth <= MAX_DEPTH, "the call chain is deeper than " + MAX_DEPTH);
     String key = matching(headers, HeaderNames.IDEMPOTENCY_KEY, KEY, "");
-    String id = matching(headers, HeaderNames.REQUEST_ID, REQUEST_ID, newId);
+    String id = matching(headers, protocol.headers().requestId(), REQUEST_ID, newId);
     Set<String> removed = CallerHeaders.removed(headers);
 
     Route route = route(request, configuration, target);
-    checkCaller(configuration, route, single(headers, HeaderNames.CALLER));
+    ServiceId service = route.chooseService(random);
+    String caller = caller(headers);
+    checkCaller(configuration, service, caller);
     long length = HttpUtil.getContentLength(request, 0L);
     if (length > route.maxBodyBytes()) {
       throw new FoxtaildoorException(
@@ -63,7 +78,7 @@
     RequestStart.Builder message =
         RequestStart.newBuilder()
             .setRequestId(id)
-            .setService(route.service().value())
+            .setService(service.value())
             .setRoute(route.name())
             .setConfigVersion(configuration.stamp().version())
             .setMethod(request.method().name())
@@ -74,9 +89,13 @@
             .setIdempotencyKey(key)
             .setEnd(!hasBody);
     addHeaders(message, headers, removed);
+    if (protocol.localCaller().isPresent()) {
+      message.addHeaders(Header.newBuilder().setName(protocol.headers().caller()).setValue(caller));
+    }
     return new RequestHead(
         message.build(),
         route,
+        service,
         nowNanos + allowedNanos(headers, route),
         hasBody,
         hasSmallBody(request),
@@ -127,19 +146,31 @@
             () -> new FoxtaildoorException(ErrorKind.NOT_FOUND, "no route matches the request"));
   }
 
-  private static void checkCaller(HeldConfiguration configuration, Route route, String caller) {
-    Service service = configuration.routes().service(route.service()).orElseThrow();
-    String name = caller == null ? "" : caller;
-    if (!service.admits(name)) {
+  /** The calling service; empty for a caller outside the mesh. */
+  private String caller(HttpHeaders headers) {
+    return protocol
+        .localCaller()
+        .map(ServiceId::value)
+        .orElseGet(() -> orEmpty(single(headers, protocol.headers().caller())));
+  }
+
+  private static String orEmpty(String value) {
+    return value == null ? "" : value;
+  }
+
+  private static void checkCaller(
+      HeldConfiguration configuration, ServiceId target, String caller) {
+    Service service = configuration.routes().service(target).orElseThrow();
+    if (!service.admits(caller)) {
       throw new FoxtaildoorException(
           ErrorKind.CALLER_NOT_ALLOWED,
-          "service " + service.id() + " does not admit caller \"" + name + "\"");
+          "service " + service.id() + " does not admit caller \"" + caller + "\"");
     }
   }
 
-  private static long allowedNanos(HttpHeaders headers, Route route) {
+  private long allowedNanos(HttpHeaders headers, Route route) {
     long allowed = route.deadline().toNanos();
-    int millis = number(headers, HeaderNames.DEADLINE_MILLIS, Integer.MAX_VALUE);
+    int millis = number(headers, protocol.headers().deadlineMillis(), Integer.MAX_VALUE);
     return Math.min(allowed, TimeUnit.MILLISECONDS.toNanos(millis));
   }
 
@@ -152,11 +183,10 @@
     };
   }
 
-  private static void addHeaders(
-      RequestStart.Builder message, HttpHeaders headers, Set<String> removed) {
+  private void addHeaders(RequestStart.Builder message, HttpHeaders headers, Set<String> removed) {
     for (Map.Entry<String, String> header : headers) {
       String name = header.getKey().toLowerCase(Locale.ROOT);
-      if (!removed.contains(name) && !name.startsWith(HeaderNames.PREFIX)) {
+      if (!removed.contains(name) && !protocol.headers().isSetByNode(name)) {
         message.addHeaders(Header.newBuilder().setName(name).setValue(header.getValue()));
       }
     }
--- a/product/src/main/java/io/foxtaildoor/connection/upstream/Exchange.java
+++ b/product/src/main/java/io/foxtaildoor/connection/upstream/Exchange.java
@@ -2,6 +2,7 @@
 
 import io.foxtaildoor.common.ErrorKind;
 import io.foxtaildoor.common.FoxtaildoorException;
+import io.foxtaildoor.common.HeaderDialect;
 import io.foxtaildoor.common.Outcome;
 import io.foxtaildoor.common.Rank;
 import io.foxtaildoor.connection.link.RequestListener;
@@ -14,7 +15,6 @@
 import io.foxtaildoor.request.admission.Ticket;
 import io.foxtaildoor.request.idempotency.KeyClaim;
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -48,6 +48,8 @@
   private long headNanos;
   private int status;
   private AnswerFlow flow;
+  private final HeldAnswer held;
+  private boolean refusedByUpstream;
   private long progressNanos;
 
   Exchange(UpstreamServer server, RequestStart head, ResponseStream response, long nowNanos) {
@@ -57,6 +59,7 @@
     this.rank = Rank.of(Math.max(0, Math.min(head.getRankValue(), Rank.COUNT - 1)));
     this.acceptedNanos = nowNanos;
     this.deadlineNanos = nowNanos + TimeUnit.MICROSECONDS.toNanos(head.getRemainingMicros());
+    this.held = new HeldAnswer(server.settings().heldAnswerBytes(), response);
     this.body = new RequestBody(head.getEnd(), server.settings().maxRequestBytes(), response);
   }
 
@@ -141,7 +144,9 @@
       if (!server.mayHandOver()) {
         throw new FoxtaildoorException(ErrorKind.LEAVING, "upstream is leaving");
       }
-      request = HeaderRules.request(head, pool.authority(), remaining);
+      request =
+          HeaderRules.request(
+              head, server.settings().headers(), pool.authority(), server.instance(), remaining);
       body.expect(request.headers());
     } catch (FoxtaildoorException e) {
       pool.release(ready);
@@ -229,8 +234,13 @@
   }
 
   @Override
-  public void answerHead(HttpResponse answer) {
+  public boolean answerHead(HttpResponse answer) {
     progressNanos = server.now();
+    HeaderDialect dialect = server.settings().headers();
+    if (!AnswerChecks.belongs(answer, dialect, head.getRequestId())) {
+      server.metrics().strayAnswer();
+      return false;
+    }
     if (handOvers == 0) {
       // An answer before any byte of the request belongs to another exchange.
       fail(ErrorKind.BAD_UPSTREAM_ANSWER, "answer without a request");
@@ -240,6 +250,12 @@
       if (answer.status().equals(HttpResponseStatus.CONTINUE)) {
         continueBody();
       }
+    } else if (!AnswerChecks.isGenuine(answer, dialect)) {
+      fail(ErrorKind.BAD_UPSTREAM_ANSWER, "the answer does not come whole from the upstream");
+    } else if (AnswerChecks.statesNotRun(answer, dialect)) {
+      body.answered();
+      refusedByUpstream = true;
+      status = answer.status().code();
     } else {
       body.answered();
       answered = true;
@@ -247,8 +263,9 @@
       headNanos = progressNanos - ticket.startedNanos();
       ResponseStart.Builder start = HeaderRules.response(answer).setLoad(server.loadReport());
       copy.head(start);
-      response.start(start.build());
+      held.start(start.build());
     }
+    return true;
   }
 
   @Override
@@ -260,14 +277,18 @@
       fail(ErrorKind.BAD_UPSTREAM_ANSWER, "answer is larger than the limit");
       return;
     }
+    if (refusedByUpstream) {
+      if (end) {
+        refused();
+      }
+      return;
+    }
     copy.body(data);
     if (end) {
       complete();
     }
-    if (bytes > 0 || end) {
-      response.send(bytes == 0 ? Unpooled.EMPTY_BUFFER : data.retainedDuplicate(), end);
-    }
-    if (!end && bytes > 0) {
+    held.add(data, end);
+    if (!end && bytes > 0 && held.isPassing()) {
       flow.passed(bytes);
     }
   }
@@ -299,6 +320,18 @@
     server.metrics().served(rank, server.now() - ticket.startedNanos());
   }
 
+  /** The upstream took the request and states that it did not run it. */
+  private void refused() {
+    ended = true;
+    if (claim != null) {
+      claim.release();
+    }
+    boolean misdirected = status == HttpResponseStatus.MISDIRECTED_REQUEST.code();
+    ErrorKind kind = misdirected ? ErrorKind.NO_UPSTREAM : ErrorKind.OVERLOADED;
+    leave(misdirected ? Completion.ABANDONED : Completion.SHED);
+    report(kind, true, "the upstream answered with status " + status + " and did not run it");
+  }
+
   @Override
   public void answerMalformed(Throwable cause) {
     fail(ErrorKind.BAD_UPSTREAM_ANSWER, "malformed answer: " + cause.getMessage());
@@ -346,11 +379,16 @@
             () -> "request " + head.getRequestId() + " failed with " + kind);
     refusedAsNotRun = notRun;
     end();
+    report(kind, notRun, detail);
+  }
+
+  private void report(ErrorKind kind, boolean notRun, String detail) {
     server.metrics().failed(rank, kind);
     response.fail(
         StreamFailure.newBuilder()
             .setKind(kind.name())
             .setNotRun(notRun)
+            .setArrived(handOvers > 0)
             .setDetail(detail)
             .setLoad(server.loadReport())
             .build());
--- a/product/src/main/java/io/foxtaildoor/connection/upstream/HeaderRules.java
+++ b/product/src/main/java/io/foxtaildoor/connection/upstream/HeaderRules.java
@@ -2,6 +2,7 @@
 
 import io.foxtaildoor.common.ErrorKind;
 import io.foxtaildoor.common.FoxtaildoorException;
+import io.foxtaildoor.common.HeaderDialect;
 import io.foxtaildoor.common.HeaderNames;
 import io.foxtaildoor.common.Rank;
 import io.foxtaildoor.protocol.Header;
@@ -35,9 +36,15 @@
   /**
    * Builds the request for the upstream.
    *
+   * @param instance instance that may run the request; empty when it has no id
    * @throws FoxtaildoorException with {@link ErrorKind#INVALID_INPUT} when the head is malformed
    */
-  static HttpRequest request(RequestStart head, String authority, long remainingNanos) {
+  static HttpRequest request(
+      RequestStart head,
+      HeaderDialect dialect,
+      String authority,
+      String instance,
+      long remainingNanos) {
     if (!TARGET.matcher(head.getTarget()).matches()) {
       throw invalid("malformed request target");
     }
@@ -59,7 +66,10 @@
         headers.set(HttpHeaderNames.HOST, authority);
       }
       frame(head, headers);
-      own(head, headers, remainingNanos);
+      context(head, headers, dialect, remainingNanos);
+      if (!instance.isEmpty() && !dialect.targetInstance().isEmpty()) {
+        headers.set(dialect.targetInstance(), instance);
+      }
       return request;
     } catch (IllegalArgumentException e) {
       throw new FoxtaildoorException(
@@ -79,12 +89,15 @@
     }
   }
 
-  private static void own(RequestStart head, HttpHeaders headers, long remainingNanos) {
-    headers.set(HeaderNames.DEPTH, head.getDepth() + 1);
-    headers.set(HeaderNames.ATTEMPT, head.getAttempt());
-    headers.set(HeaderNames.RANK, Rank.of(head.getRankValue()).name().toLowerCase(Locale.ROOT));
-    headers.set(HeaderNames.DEADLINE_MILLIS, Math.max(1, remainingNanos / 1_000_000));
-    headers.set(HeaderNames.REQUEST_ID, head.getRequestId());
+  private static void context(
+      RequestStart head, HttpHeaders headers, HeaderDialect dialect, long remainingNanos) {
+    if (dialect.hasCallChain()) {
+      headers.set(HeaderNames.DEPTH, head.getDepth() + 1);
+      headers.set(HeaderNames.ATTEMPT, head.getAttempt());
+      headers.set(HeaderNames.RANK, Rank.of(head.getRankValue()).name().toLowerCase(Locale.ROOT));
+    }
+    headers.set(dialect.deadlineMillis(), Math.max(1, remainingNanos / 1_000_000));
+    headers.set(dialect.requestId(), head.getRequestId());
     if (!head.getIdempotencyKey().isEmpty()) {
       headers.set(HeaderNames.IDEMPOTENCY_KEY, head.getIdempotencyKey());
     }
--- a/product/src/main/java/io/foxtaildoor/connection/upstream/UpstreamConnection.java
+++ b/product/src/main/java/io/foxtaildoor/connection/upstream/UpstreamConnection.java
@@ -28,6 +28,7 @@
   private boolean answerEnded;
   private boolean keepAlive;
   private boolean interim;
+  private boolean stray;
   private long idleSinceNanos;
 
   /** Hears of the exchange that the connection carries. */
@@ -44,8 +45,12 @@
     /** More of the body may be written. */
     void bodyWritable();
 
-    /** A final or interim answer head. */
-    void answerHead(HttpResponse answer);
+    /**
+     * A final or interim answer head.
+     *
+     * @return false when the answer belongs to another request and is to be dropped
+     */
+    boolean answerHead(HttpResponse answer);
 
     /** A part of the answer, which is released by the caller; the last when {@code end} is set. */
     void answerBody(ByteBuf data, boolean end);
@@ -88,6 +93,7 @@
     user = newUser;
     requestWritten = false;
     answerEnded = false;
+    stray = false;
     keepAlive = false;
     ChannelProgressivePromise promise = channel.newProgressivePromise();
     promise.addListener(new HeadListener(newUser));
@@ -199,7 +205,10 @@
     if (message instanceof HttpResponse answer) {
       interim = answer.status().codeClass() == HttpStatusClass.INFORMATIONAL;
       keepAlive = HttpUtil.isKeepAlive(answer);
-      user.answerHead(answer);
+      stray = !user.answerHead(answer);
+    }
+    if (stray) {
+      return;
     }
     // The codec ends each interim answer with an empty last content of its own.
     if (message instanceof HttpContent content && !interim && user != null) {
@@ -245,8 +254,13 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-    // The close that follows is reported as a broken exchange.
+    // The decoder takes the close that follows for the end of an answer without a length.
+    User last = user;
+    user = null;
     close();
+    if (last != null) {
+      last.broken("the connection to the upstream failed: " + cause.getMessage());
+    }
   }
 
   @Override
--- a/product/src/main/java/io/foxtaildoor/connection/upstream/UpstreamMetrics.java
+++ b/product/src/main/java/io/foxtaildoor/connection/upstream/UpstreamMetrics.java
@@ -39,6 +39,11 @@
     registry.counter(PREFIX + "refused", tags(rank).and("kind", kind.headerValue())).increment();
   }
 
+  /** Counts an answer that belonged to no waiting request. */
+  void strayAnswer() {
+    registry.counter(PREFIX + "stray.answers").increment();
+  }
+
   void served(Rank rank, long serviceNanos) {
     registry.timer(PREFIX + "service", tags(rank)).record(serviceNanos, TimeUnit.NANOSECONDS);
   }
--- a/product/src/main/java/io/foxtaildoor/connection/upstream/UpstreamServer.java
+++ b/product/src/main/java/io/foxtaildoor/connection/upstream/UpstreamServer.java
@@ -64,6 +64,7 @@
   private UpstreamAnnouncement announced;
   private UpstreamPool pool;
   private Service configured;
+  private String instance = "";
   private boolean draining;
   private long drainBeganNanos;
   private CompletableFuture<Boolean> drained = new CompletableFuture<>();
@@ -104,12 +105,22 @@
    * and ends its drain; a renewal of the present one only updates its slots.
    */
   public void attach(InetSocketAddress address, UpstreamAnnouncement announcement) {
+    attach(address, announcement, "");
+  }
+
+  /**
+   * Takes an upstream into use that has an id of its own.
+   *
+   * @param id names the instance in each request, so that another one at its address refuses it
+   */
+  public void attach(InetSocketAddress address, UpstreamAnnouncement announcement, String id) {
     loop.execute(
         () -> {
           if (!renews(address, announcement)) {
             replace(address);
           }
           announced = announcement;
+          instance = id;
           configured = null;
         });
   }
@@ -159,6 +170,13 @@
     return result;
   }
 
+  /** Completes when what was asked of the server before has taken effect. */
+  public CompletableFuture<Void> flushed() {
+    CompletableFuture<Void> done = new CompletableFuture<>();
+    loop.execute(() -> done.complete(null));
+    return done;
+  }
+
   private void drain(long nowNanos, CompletableFuture<Boolean> result) {
     if (!draining) {
       draining = true;
@@ -351,6 +369,11 @@
         .build();
   }
 
+  /** Id of the instance; empty when it has none. */
+  String instance() {
+    return instance;
+  }
+
   AdmissionQueue<Exchange> admission() {
     return admission;
   }
--- a/product/src/main/java/io/foxtaildoor/connection/upstream/UpstreamSettings.java
+++ b/product/src/main/java/io/foxtaildoor/connection/upstream/UpstreamSettings.java
@@ -1,5 +1,6 @@
 package io.foxtaildoor.connection.upstream;
 
+import io.foxtaildoor.common.HeaderDialect;
 import io.foxtaildoor.request.admission.AdmissionSettings;
 import io.foxtaildoor.request.idempotency.KeyRegistrySettings;
 import java.time.Duration;
@@ -13,6 +14,9 @@
  * @param idleTimeout time after which an unused connection is closed; below the usual keep-alive
  *     time of servers, so that connections are rarely closed by the upstream while they are reused
  * @param drainBound longest wait for requests in flight when the upstream leaves
+ * @param heldAnswerBytes answers up to this size are passed on when they are complete, so that the
+ *     caller's node can still try another instance when one is cut off; 0 passes on each part
+ * @param headers names of the headers that the upstream understands
  * @param maxRequestBytes largest request body
  * @param maxAnswerBytes largest response body
  */
@@ -22,11 +26,29 @@
     Duration continueTimeout,
     Duration idleTimeout,
     Duration drainBound,
+    int heldAnswerBytes,
+    HeaderDialect headers,
     long maxRequestBytes,
     long maxAnswerBytes,
     AdmissionSettings admission,
     KeyRegistrySettings keys) {
 
+  /** These settings for another dialect, with answers up to a size held until they are whole. */
+  public UpstreamSettings withManaged(int heldBytes, HeaderDialect dialect) {
+    return new UpstreamSettings(
+        connectTimeout,
+        progressTimeout,
+        continueTimeout,
+        idleTimeout,
+        drainBound,
+        heldBytes,
+        dialect,
+        maxRequestBytes,
+        maxAnswerBytes,
+        admission,
+        keys);
+  }
+
   /** Settings for the deployments described in the design page. */
   public static UpstreamSettings defaults() {
     return new UpstreamSettings(
@@ -35,6 +57,8 @@
         Duration.ofSeconds(1),
         Duration.ofSeconds(4),
         Duration.ofSeconds(30),
+        0,
+        HeaderDialect.STANDARD,
         1L << 30,
         1L << 30,
         AdmissionSettings.defaults(),
--- a/product/src/main/java/io/foxtaildoor/process/cli/NodeCommand.java
+++ b/product/src/main/java/io/foxtaildoor/process/cli/NodeCommand.java
@@ -2,9 +2,12 @@
 
 import io.foxtaildoor.common.ErrorKind;
 import io.foxtaildoor.common.FoxtaildoorException;
+import io.foxtaildoor.platform.ManagedPlatform;
 import io.foxtaildoor.process.node.BoundPorts;
 import io.foxtaildoor.process.node.Node;
+import io.foxtaildoor.process.platform.PlatformAdapter;
 import io.foxtaildoor.process.settings.NodeSettings;
+import io.foxtaildoor.process.settings.NodeSettings.PlatformInterface;
 import io.foxtaildoor.process.settings.Settings;
 import java.io.IOException;
 import java.io.PrintStream;
@@ -36,7 +39,7 @@
       return Main.EXIT_USAGE;
     }
     LogLevels.set(settings.get().get(NodeSettings.LOG_LEVEL));
-    Node node = new Node(settings.get());
+    Node node = new Node(settings.get(), adapter(settings.get()));
     BoundPorts ports = node.start();
     // The hook ends the process itself, since a signal's own exit code would not be 0.
     Runtime.getRuntime()
@@ -51,6 +54,12 @@
     return Main.EXIT_DONE;
   }
 
+  private static Optional<PlatformAdapter> adapter(Settings settings) {
+    return settings.get(NodeSettings.PLATFORM_INTERFACE) == PlatformInterface.MANAGED
+        ? Optional.of(new ManagedPlatform())
+        : Optional.empty();
+  }
+
   /** Writes the ports so that a reader sees the whole file or none. */
   private void write(BoundPorts ports) {
     Path target = Path.of(portFile);
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/process/instance/Incarnation.java
@@ -0,0 +1,13 @@
+package io.foxtaildoor.process.instance;
+
+/**
+ * One start of an upstream instance.
+ *
+ * @param startedMillis start by the instance's own clock, since the epoch; 0 when it is not stated
+ */
+public record Incarnation(InstanceId id, long startedMillis) {
+  /** Whether this start is certainly older than another one. */
+  boolean isOlderThan(Incarnation other) {
+    return startedMillis < other.startedMillis;
+  }
+}
--- a/product/src/main/java/io/foxtaildoor/process/node/LocalUpstream.java
+++ b/product/src/main/java/io/foxtaildoor/process/node/LocalUpstream.java
@@ -9,6 +9,7 @@
 import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.LongSupplier;
 
 /** Takes announcements of the upstream on this host to membership and to the request path. */
@@ -24,9 +25,10 @@
   private long renewedNanos;
   private boolean stopping;
 
-  private record Instance(InetSocketAddress address, UpstreamAnnouncement announcement) {
-    boolean isSame(ServiceId service, InetSocketAddress other, int slots) {
-      return address.equals(other)
+  private record Instance(String id, InetSocketAddress address, UpstreamAnnouncement announcement) {
+    boolean isSame(String otherId, ServiceId service, InetSocketAddress other, int slots) {
+      return id.equals(otherId)
+          && address.equals(other)
           && announcement.service().equals(service)
           && announcement.slots() == slots;
     }
@@ -41,15 +43,26 @@
 
   @Override
   public void announce(ServiceId service, InetSocketAddress address, int slots) {
+    announce("", service, address, slots, Duration.ZERO);
+  }
+
+  /**
+   * Takes or renews an announcement.
+   *
+   * @param id id of the instance; empty when it has none
+   * @param age time since the start of an instance that was not known before
+   */
+  void announce(String id, ServiceId service, InetSocketAddress address, int slots, Duration age) {
     long now = clock.getAsLong();
     synchronized (lock) {
       if (stopping) {
         return;
       }
       renewedNanos = now;
-      if (instance == null || !instance.isSame(service, address, slots)) {
-        instance = new Instance(address, new UpstreamAnnouncement(service, slots, now));
-        server.attach(address, instance.announcement());
+      if (instance == null || !instance.isSame(id, service, address, slots)) {
+        long startedAt = now - age.toNanos();
+        instance = new Instance(id, address, new UpstreamAnnouncement(service, slots, startedAt));
+        server.attach(address, instance.announcement(), id);
         LOGGER.log(Level.INFO, "upstream {0} of service {1} announced itself", address, service);
       }
       membership.announceUpstream(
@@ -59,11 +72,17 @@
 
   @Override
   public void withdraw() {
+    var unused = release();
+  }
+
+  /** Ends the announcement; completes when the upstream is handed no new request any more. */
+  CompletableFuture<Void> release() {
     synchronized (lock) {
-      if (instance != null) {
-        LOGGER.log(Level.INFO, "upstream {0} withdrew its announcement", instance.address());
-        end();
+      if (instance == null) {
+        return CompletableFuture.completedFuture(null);
       }
+      LOGGER.log(Level.INFO, "upstream {0} withdrew its announcement", instance.address());
+      return end();
     }
   }
 
@@ -72,7 +91,7 @@
     synchronized (lock) {
       if (instance != null && nowNanos - renewedNanos > expiry.toNanos()) {
         LOGGER.log(Level.WARNING, "announcement of upstream {0} expired", instance.address());
-        end();
+        var unused = end();
       }
     }
   }
@@ -84,9 +103,10 @@
     }
   }
 
-  private void end() {
+  private CompletableFuture<Void> end() {
     instance = null;
     membership.withdrawUpstream();
     var unused = server.beginDrain(clock.getAsLong());
+    return server.flushed();
   }
 }
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/process/node/ManagedServices.java
@@ -0,0 +1,129 @@
+package io.foxtaildoor.process.node;
+
+import static io.foxtaildoor.process.settings.NodeSettings.PLATFORM_BOUNDS;
+import static io.foxtaildoor.process.settings.NodeSettings.READINESS_ENDPOINT;
+import static io.foxtaildoor.process.settings.NodeSettings.REPORTS_ENDPOINT;
+import static io.foxtaildoor.process.settings.NodeSettings.UPSTREAM_ENDPOINT;
+
+import io.foxtaildoor.common.ErrorKind;
+import io.foxtaildoor.common.FoxtaildoorException;
+import io.foxtaildoor.common.TaskScheduler;
+import io.foxtaildoor.process.instance.Incarnation;
+import io.foxtaildoor.process.instance.InstanceReport;
+import io.foxtaildoor.process.instance.InstanceReports;
+import io.foxtaildoor.process.instance.LeavingLog;
+import io.foxtaildoor.process.operator.ConfigurationResources;
+import io.foxtaildoor.process.operator.OperatorListener;
+import io.foxtaildoor.process.operator.OperatorRouter;
+import io.foxtaildoor.process.platform.PlatformAdapter;
+import io.foxtaildoor.process.settings.Setting;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
+
+/** A managed platform: operators write to the platform, upstreams report to their own node. */
+final class ManagedServices implements PlatformServices {
+  /**
+   * Part of the stop limit for which a stopping node goes on taking callers. The platform asks once
+   * a second and needs two misses before callers go elsewhere.
+   */
+  private static final double ANNOUNCED_SHARE = 0.5;
+
+  private final NodeContext context;
+  private final PlatformAdapter adapter;
+  private ManagedSide side;
+  private OperatorListener readiness;
+  private OperatorListener reports;
+
+  ManagedServices(NodeContext context, PlatformAdapter adapter) {
+    this.context = context;
+    this.adapter = adapter;
+  }
+
+  @Override
+  public RequestProfile profile() {
+    return RequestProfile.managed(context.settings(), adapter);
+  }
+
+  @Override
+  public PlatformSide createSide(ControlPlane control) {
+    side =
+        new ManagedSide(
+            context,
+            adapter,
+            control.membership(),
+            control.distributor(),
+            TaskScheduler.on(control.controlThread()));
+    return side;
+  }
+
+  @Override
+  public void open(
+      OperatorRouter router, ControlPlane control, LocalUpstream upstream, BooleanSupplier ready) {
+    new ConfigurationResources(control.holder()::current, control.membership()).register(router);
+    InetSocketAddress instance = required(UPSTREAM_ENDPOINT);
+    InstanceReports instanceReports =
+        new InstanceReports(
+            instance,
+            new ReportedUpstream(upstream),
+            new LeavingLog(side.store(), instance),
+            context.clock());
+    OperatorRouter reportsRouter = new OperatorRouter();
+    adapter.addReports(reportsRouter, instanceReports);
+    reports = new OperatorListener(context.group(), reportsRouter);
+    reports.start(required(REPORTS_ENDPOINT));
+    OperatorRouter readinessRouter = new OperatorRouter();
+    adapter.addReadiness(readinessRouter, ready);
+    readiness = new OperatorListener(context.group(), readinessRouter);
+    readiness.start(required(READINESS_ENDPOINT));
+  }
+
+  private <T> T required(Setting<Optional<T>> setting) {
+    return context
+        .settings()
+        .get(setting)
+        .orElseThrow(
+            () ->
+                new FoxtaildoorException(
+                    ErrorKind.INVALID_INPUT, setting.key() + " is required on this platform"));
+  }
+
+  /** Passes what is decided about the instance to the node. */
+  private record ReportedUpstream(LocalUpstream upstream) implements InstanceReports.Upstream {
+    @Override
+    public void use(InstanceReport report) {
+      Duration age = RequestProfile.SLOW_START.minus(report.warmUpLeft());
+      upstream.announce(
+          report.incarnation().id().value(),
+          report.service(),
+          report.address(),
+          report.capacity(),
+          age.isNegative() ? Duration.ZERO : age);
+    }
+
+    @Override
+    public CompletableFuture<Void> release(Incarnation incarnation) {
+      return upstream.release();
+    }
+  }
+
+  @Override
+  public CompletableFuture<Void> announceStop() {
+    Duration limit = adapter.bounds(context.settings().get(PLATFORM_BOUNDS)).stopLimit();
+    Duration announced = Duration.ofMillis((long) (limit.toMillis() * ANNOUNCED_SHARE));
+    return context.scheduler().delay(announced);
+  }
+
+  @Override
+  public CompletableFuture<?> flush() {
+    return CompletableFuture.completedFuture(null);
+  }
+
+  @Override
+  public void close() {
+    readiness.close();
+    reports.close();
+  }
+}
--- a/product/src/main/java/io/foxtaildoor/process/node/ModuleSettings.java
+++ b/product/src/main/java/io/foxtaildoor/process/node/ModuleSettings.java
@@ -27,6 +27,14 @@
   /** The indirect probe must come well before the next probe. */
   private static final int INDIRECT_PROBE_DIVISOR = 3;
 
+  /** The platform answers in milliseconds; a silent connection is given up after this. */
+  private static final Duration MANAGED_CALL_TIMEOUT = Duration.ofSeconds(1);
+
+  private static final Duration MANAGED_CONNECT_TIMEOUT = Duration.ofMillis(500);
+
+  /** A burst of versions brings one watch each. */
+  private static final CallRate MANAGED_RATE = new CallRate(20, 10);
+
   private final Settings settings;
 
   ModuleSettings(Settings settings) {
@@ -52,6 +60,23 @@
         standard.maxBackoff());
   }
 
+  /**
+   * On a managed platform each call has its own purpose and rhythm, so the rate only caps bursts.
+   */
+  PlatformSettings managedPlatform() {
+    PlatformSettings standard = platform();
+    return new PlatformSettings(
+        standard.endpoints(),
+        MANAGED_CALL_TIMEOUT,
+        MANAGED_CONNECT_TIMEOUT,
+        standard.connectionsPerEndpoint(),
+        MANAGED_RATE,
+        standard.interactive(),
+        standard.partFetches(),
+        standard.initialBackoff(),
+        standard.maxBackoff());
+  }
+
   ReaderSettings reader() {
     ReaderSettings standard = ReaderSettings.defaults();
     return new ReaderSettings(
--- a/product/src/main/java/io/foxtaildoor/process/node/Node.java
+++ b/product/src/main/java/io/foxtaildoor/process/node/Node.java
@@ -4,29 +4,23 @@
 import static io.foxtaildoor.process.settings.NodeSettings.ANNOUNCEMENT_EXPIRY;
 import static io.foxtaildoor.process.settings.NodeSettings.DATA_CENTRE;
 import static io.foxtaildoor.process.settings.NodeSettings.DRAIN_TIMEOUT;
+import static io.foxtaildoor.process.settings.NodeSettings.NODE_NAME;
 import static io.foxtaildoor.process.settings.NodeSettings.OPERATOR_PORT;
 import static io.foxtaildoor.process.settings.NodeSettings.PEER_PORT;
 
+import io.foxtaildoor.common.DataCentreId;
 import io.foxtaildoor.common.NodeId;
 import io.foxtaildoor.common.TaskScheduler;
 import io.foxtaildoor.connection.link.LinkMetrics;
 import io.foxtaildoor.connection.link.LinkSettings;
 import io.foxtaildoor.connection.link.PeerListener;
-import io.foxtaildoor.process.audit.AuditSettings;
-import io.foxtaildoor.process.audit.AuditTrail;
 import io.foxtaildoor.process.invariant.Invariant;
 import io.foxtaildoor.process.invariant.Invariants;
-import io.foxtaildoor.process.operator.ApplicationAudit;
-import io.foxtaildoor.process.operator.ApprovalResources;
-import io.foxtaildoor.process.operator.ConfigurationResources;
 import io.foxtaildoor.process.operator.HealthResources;
 import io.foxtaildoor.process.operator.OperatorListener;
 import io.foxtaildoor.process.operator.OperatorRouter;
-import io.foxtaildoor.process.operator.UpstreamResource;
+import io.foxtaildoor.process.platform.PlatformAdapter;
 import io.foxtaildoor.process.settings.Settings;
-import io.foxtaildoor.version.approval.ApprovalEnvironment;
-import io.foxtaildoor.version.approval.ApprovalService;
-import io.foxtaildoor.version.approval.ApprovalSettings;
 import io.foxtaildoor.version.manifest.HeldConfiguration;
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
@@ -36,7 +30,7 @@
 import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
 import java.time.Duration;
-import java.util.UUID;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Executors;
@@ -66,19 +60,28 @@
   private ControlPlane control;
   private RequestPath requests;
   private LocalUpstream localUpstream;
-  private AuditTrail audit;
+  private final PlatformServices services;
   private OperatorListener operators;
 
-  /** Creates a node that is not started. */
+  /** Creates a node that is not started, on a platform with the product's own interface. */
   public Node(Settings settings) {
+    this(settings, Optional.empty());
+  }
+
+  /**
+   * Creates a node that is not started.
+   *
+   * @param adapter speaks to a managed platform; empty for the product's own interface
+   */
+  public Node(Settings settings, Optional<PlatformAdapter> adapter) {
     this.settings = settings;
-    EventLoopGroup group = EventLoops.create(EVENT_LOOPS);
+    EventLoopGroup group = EventLoops.create(adapter.isPresent() ? 1 : EVENT_LOOPS);
     RandomGenerator random = EventLoops.random();
     PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
     context =
         new NodeContext(
             settings,
-            new NodeId(settings.get(DATA_CENTRE) + "-" + Long.toHexString(random.nextLong())),
+            new NodeId(name(settings) + "-" + Long.toHexString(random.nextLong())),
             System.currentTimeMillis(),
             group,
             Executors.newSingleThreadExecutor(task -> new Thread(task, "worker")),
@@ -88,6 +91,10 @@
             new Invariants(Node::reportBreach),
             registry);
     linkMetrics = new LinkMetrics(registry);
+    services =
+        adapter
+            .<PlatformServices>map(present -> new ManagedServices(context, present))
+            .orElseGet(() -> new StandardServices(context));
     for (Invariant invariant : Invariant.values()) {
       Gauge.builder(
               "foxtaildoor.invariant.breaches", () -> context.invariants().breaches(invariant))
@@ -96,6 +103,10 @@
     }
   }
 
+  private static DataCentreId name(Settings settings) {
+    return settings.get(NODE_NAME).orElseGet(() -> settings.get(DATA_CENTRE));
+  }
+
   private static void reportBreach(Invariant invariant, String detail) {
     LOGGER.log(Level.ERROR, "invariant {0} does not hold: {1}", invariant, detail);
   }
@@ -126,8 +137,8 @@
             ControlPlane.controlHandlers(() -> control));
     InetSocketAddress address =
         peers.start(new InetSocketAddress(settings.get(ADDRESS), settings.get(PEER_PORT))).join();
-    control = new ControlPlane(context, address, linkMetrics);
-    requests = new RequestPath(context, control, linkMetrics);
+    control = new ControlPlane(context, address, linkMetrics, services::createSide);
+    requests = new RequestPath(context, control, linkMetrics, services.profile());
     localUpstream =
         new LocalUpstream(
             control.membership(),
@@ -139,33 +150,7 @@
 
   private OperatorRouter router() {
     OperatorRouter router = new OperatorRouter();
-    audit =
-        new AuditTrail(
-            control.platform().interactive(), context.scheduler(), AuditSettings.defaults());
-    ApprovalService approvals =
-        new ApprovalService(
-            new ApprovalEnvironment(
-                control.platform().interactive(),
-                audit,
-                context.scheduler(),
-                context.worker(),
-                System::currentTimeMillis,
-                context.random(),
-                control.holder()::current),
-            ApprovalSettings.defaults(),
-            control.distributor()::published);
-    ConfigurationResources configuration =
-        new ConfigurationResources(control.holder()::current, control.membership());
-    configuration.register(router);
-    ApplicationAudit applications =
-        new ApplicationAudit(
-            configuration,
-            audit::record,
-            context.scheduler(),
-            System::currentTimeMillis,
-            () -> UUID.randomUUID().toString());
-    new ApprovalResources(approvals, applications::accepted).register(router);
-    new UpstreamResource(settings.get(ADDRESS), localUpstream).register(router);
+    services.open(router, control, localUpstream, this::isReady);
     new HealthResources(this::isReady, context.registry()).register(router);
     return router;
   }
@@ -193,8 +178,9 @@
     localUpstream.stop();
     control.stopReading();
     await("announcement of leaving", control.membership().leave(), STEP_LIMIT);
+    await("notice of the stop", services.announceStop(), STEP_LIMIT);
     boolean whole = drain();
-    await("audit trail", audit.flush(), STEP_LIMIT);
+    await("flush", services.flush(), STEP_LIMIT);
     close();
     LOGGER.log(Level.INFO, "node {0} stopped; nothing was cut: {1}", context.nodeId(), whole);
     stopped.countDown();
@@ -229,7 +215,7 @@
   }
 
   private void close() {
-    audit.close();
+    services.close();
     control.close();
     requests.close();
     peers.close();
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/process/node/PlatformServices.java
@@ -0,0 +1,31 @@
+package io.foxtaildoor.process.node;
+
+import io.foxtaildoor.process.operator.OperatorRouter;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
+
+/** The parts of a node that depend on the platform it runs on. */
+interface PlatformServices {
+  /** How requests are handled. */
+  RequestProfile profile();
+
+  /** Creates the side towards the platform. */
+  PlatformSide createSide(ControlPlane control);
+
+  /**
+   * Adds resources to the operator interface and starts listeners of its own.
+   *
+   * @param ready whether the node takes callers
+   */
+  void open(
+      OperatorRouter router, ControlPlane control, LocalUpstream upstream, BooleanSupplier ready);
+
+  /** Completes when callers have had time to learn that the node stops; called first at a stop. */
+  CompletableFuture<Void> announceStop();
+
+  /** Completes when what is to be kept is on the platform; called after the last request. */
+  CompletableFuture<?> flush();
+
+  /** Closes the listeners. */
+  void close();
+}
--- a/product/src/main/java/io/foxtaildoor/process/node/RequestPath.java
+++ b/product/src/main/java/io/foxtaildoor/process/node/RequestPath.java
@@ -1,13 +1,11 @@
 package io.foxtaildoor.process.node;
 
 import static io.foxtaildoor.process.settings.NodeSettings.ADDRESS;
-import static io.foxtaildoor.process.settings.NodeSettings.ADMISSION;
+import static io.foxtaildoor.process.settings.NodeSettings.CALLER_ENDPOINT;
 import static io.foxtaildoor.process.settings.NodeSettings.CALLER_PORT;
 import static io.foxtaildoor.process.settings.NodeSettings.DATA_CENTRE;
 import static io.foxtaildoor.process.settings.NodeSettings.DRAIN_TIMEOUT;
 import static io.foxtaildoor.process.settings.NodeSettings.REGION;
-import static io.foxtaildoor.process.settings.NodeSettings.RETRY_BUDGET_PERCENT;
-import static io.foxtaildoor.process.settings.NodeSettings.SELECTION;
 
 import io.foxtaildoor.connection.caller.CallerDependencies;
 import io.foxtaildoor.connection.caller.CallerListener;
@@ -17,9 +15,7 @@
 import io.foxtaildoor.connection.link.LinkSettings;
 import io.foxtaildoor.connection.link.NettyLinkClient;
 import io.foxtaildoor.connection.upstream.UpstreamServer;
-import io.foxtaildoor.connection.upstream.UpstreamSettings;
 import io.foxtaildoor.process.settings.Settings;
-import io.foxtaildoor.request.balance.BalanceSettings;
 import io.foxtaildoor.request.balance.UpstreamSelector;
 import io.foxtaildoor.request.idempotency.KeyedRequests;
 import io.foxtaildoor.request.retry.RetryBudgets;
@@ -38,7 +34,8 @@
   private final NettyLinkClient links;
 
   /** Creates the parts without starting them. */
-  RequestPath(NodeContext context, ControlPlane control, LinkMetrics linkMetrics) {
+  RequestPath(
+      NodeContext context, ControlPlane control, LinkMetrics linkMetrics, RequestProfile profile) {
     Settings settings = context.settings();
     links =
         new NettyLinkClient(
@@ -50,21 +47,19 @@
             context.clock(),
             context.random());
     UpstreamSelector selector =
-        new UpstreamSelector(
-            BalanceSettings.defaults().withSelection(settings.get(SELECTION)),
-            settings.get(REGION),
-            settings.get(DATA_CENTRE));
-    RetrySettings retries = retrySettings(settings);
+        new UpstreamSelector(profile.balance(), settings.get(REGION), settings.get(DATA_CENTRE));
+    RetrySettings retries = profile.retries();
     callers =
         new CallerListener(
             callerSettings(settings),
             new CallerDependencies(
+                profile.callers(),
                 control.holder()::current,
                 control.membership(),
                 links,
                 selector,
                 new RetryPolicy(retries),
-                new RetryBudgets(retries),
+                new RetryBudgets(retries, () -> profile.retryFloor(control.membership())),
                 new KeyedRequests(KEYED_REQUESTS),
                 context.invariants(),
                 new CallerMetrics(context.registry()),
@@ -74,7 +69,7 @@
     upstream =
         new UpstreamServer(
             context.group(),
-            upstreamSettings(settings),
+            profile.upstream(),
             service -> control.holder().current().routes().service(service),
             context.invariants(),
             context.registry(),
@@ -82,20 +77,13 @@
     control.holder().addListener(callers::configurationApplied);
   }
 
-  private static RetrySettings retrySettings(Settings settings) {
-    RetrySettings standard = RetrySettings.defaults();
-    return new RetrySettings(
-        standard.maxAttempts(),
-        standard.minRemaining(),
-        settings.get(RETRY_BUDGET_PERCENT) / 100.0,
-        standard.budgetFloor(),
-        standard.budgetWindow());
-  }
-
   private static CallerSettings callerSettings(Settings settings) {
     CallerSettings standard = CallerSettings.defaults();
     return new CallerSettings(
-        new InetSocketAddress(settings.get(ADDRESS), settings.get(CALLER_PORT)),
+        settings
+            .get(CALLER_ENDPOINT)
+            .orElseGet(
+                () -> new InetSocketAddress(settings.get(ADDRESS), settings.get(CALLER_PORT))),
         standard.maxConnections(),
         standard.maxRequestLineBytes(),
         standard.maxHeaderBytes(),
@@ -107,20 +95,6 @@
         settings.get(DRAIN_TIMEOUT));
   }
 
-  private static UpstreamSettings upstreamSettings(Settings settings) {
-    UpstreamSettings standard = UpstreamSettings.defaults();
-    return new UpstreamSettings(
-        standard.connectTimeout(),
-        standard.progressTimeout(),
-        standard.continueTimeout(),
-        standard.idleTimeout(),
-        settings.get(DRAIN_TIMEOUT),
-        standard.maxRequestBytes(),
-        standard.maxAnswerBytes(),
-        standard.admission().withMode(settings.get(ADMISSION)),
-        standard.keys());
-  }
-
   CallerListener callers() {
     return callers;
   }
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/process/node/RequestProfile.java
@@ -0,0 +1,113 @@
+package io.foxtaildoor.process.node;
+
+import static io.foxtaildoor.process.settings.NodeSettings.ADMISSION;
+import static io.foxtaildoor.process.settings.NodeSettings.DRAIN_TIMEOUT;
+import static io.foxtaildoor.process.settings.NodeSettings.PLATFORM_BOUNDS;
+import static io.foxtaildoor.process.settings.NodeSettings.RETRY_BUDGET_PERCENT;
+import static io.foxtaildoor.process.settings.NodeSettings.SELECTION;
+import static io.foxtaildoor.process.settings.NodeSettings.UPSTREAM_SERVICE;
+
+import io.foxtaildoor.connection.caller.CallerProtocol;
+import io.foxtaildoor.connection.upstream.UpstreamSettings;
+import io.foxtaildoor.process.membership.FleetView;
+import io.foxtaildoor.process.platform.DeploymentBounds;
+import io.foxtaildoor.process.platform.PlatformAdapter;
+import io.foxtaildoor.process.settings.Settings;
+import io.foxtaildoor.request.balance.BalanceSettings;
+import io.foxtaildoor.request.retry.RetrySettings;
+import java.time.Duration;
+import java.util.function.ToDoubleFunction;
+
+/**
+ * What differs on the way of a request between platforms.
+ *
+ * @param floors repeats that this node may make in the window whatever its requests
+ */
+record RequestProfile(
+    CallerProtocol callers,
+    RetrySettings retries,
+    ToDoubleFunction<FleetView> floors,
+    BalanceSettings balance,
+    UpstreamSettings upstream) {
+  /** Part of the fleet's retry budget that is used; the rest covers nodes that are not known. */
+  private static final double BUDGET_USE = 0.5;
+
+  /** Fewest nodes among which the budget is divided, for a node that knows no other yet. */
+  private static final int LEAST_NODES = 4;
+
+  /** Attempts of one request, refusals of other nodes included. */
+  private static final int MAX_ATTEMPTS = 6;
+
+  /** Wait that refusals ask for: a queue of requests of usual length has moved on by then. */
+  private static final Duration RETRY_AFTER = Duration.ofMillis(250);
+
+  /** Answers of the usual size are passed on whole. */
+  private static final int HELD_ANSWER_BYTES = 64 << 10;
+
+  /** A starting instance is slow for some seconds; see the reports of the instance. */
+  static final Duration SLOW_START = Duration.ofSeconds(3);
+
+  /** Repeats in the window that are free whatever the requests. */
+  double retryFloor(FleetView fleet) {
+    return floors.applyAsDouble(fleet);
+  }
+
+  /** The product's own interface. */
+  static RequestProfile standard(Settings settings) {
+    RetrySettings retries = retrySettings(settings);
+    return new RequestProfile(
+        CallerProtocol.STANDARD,
+        retries,
+        fleet -> retries.budgetFloor(),
+        BalanceSettings.defaults().withSelection(settings.get(SELECTION)),
+        upstreamSettings(settings));
+  }
+
+  /** A managed platform, whose retry budget all nodes share. */
+  static RequestProfile managed(Settings settings, PlatformAdapter adapter) {
+    DeploymentBounds bounds = adapter.bounds(settings.get(PLATFORM_BOUNDS));
+    RetrySettings standard = RetrySettings.defaults();
+    RetrySettings retries =
+        new RetrySettings(
+            MAX_ATTEMPTS,
+            standard.minRemaining(),
+            bounds.retryShare() * BUDGET_USE,
+            0,
+            bounds.retryWindow(),
+            true);
+    UpstreamSettings upstream = upstreamSettings(settings);
+    return new RequestProfile(
+        new CallerProtocol(adapter.headers(), settings.get(UPSTREAM_SERVICE), RETRY_AFTER),
+        retries,
+        fleet -> bounds.retryFloor() * BUDGET_USE / Math.max(LEAST_NODES, fleet.nodes().size()),
+        BalanceSettings.defaults().withSelection(settings.get(SELECTION)).withSlowStart(SLOW_START),
+        upstream.withManaged(HELD_ANSWER_BYTES, adapter.headers()));
+  }
+
+  private static RetrySettings retrySettings(Settings settings) {
+    RetrySettings standard = RetrySettings.defaults();
+    return new RetrySettings(
+        standard.maxAttempts(),
+        standard.minRemaining(),
+        settings.get(RETRY_BUDGET_PERCENT) / 100.0,
+        standard.budgetFloor(),
+        standard.budgetWindow(),
+        standard.refusalsAreFree());
+  }
+
+  private static UpstreamSettings upstreamSettings(Settings settings) {
+    UpstreamSettings standard = UpstreamSettings.defaults();
+    return new UpstreamSettings(
+        standard.connectTimeout(),
+        standard.progressTimeout(),
+        standard.continueTimeout(),
+        standard.idleTimeout(),
+        settings.get(DRAIN_TIMEOUT),
+        standard.heldAnswerBytes(),
+        standard.headers(),
+        standard.maxRequestBytes(),
+        standard.maxAnswerBytes(),
+        standard.admission().withMode(settings.get(ADMISSION)),
+        standard.keys());
+  }
+}
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/process/node/StandardSide.java
@@ -0,0 +1,133 @@
+package io.foxtaildoor.process.node;
+
+import static io.foxtaildoor.process.settings.NodeSettings.CONTACTS;
+import static io.foxtaildoor.process.settings.NodeSettings.DATA_CENTRE;
+
+import io.foxtaildoor.common.TaskScheduler;
+import io.foxtaildoor.process.membership.Membership;
+import io.foxtaildoor.process.platform.ContactDirectory;
+import io.foxtaildoor.process.platform.HttpPlatformClient;
+import io.foxtaildoor.process.platform.MeshDirectory;
+import io.foxtaildoor.process.platform.PublishedConfiguration;
+import io.foxtaildoor.process.platform.ReaderService;
+import io.foxtaildoor.process.platform.ReaderSettings;
+import io.netty.util.concurrent.EventExecutor;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+
+/** The platform side of a node on a platform that speaks the product's own interface. */
+final class StandardSide implements PlatformSide {
+  /** Time between looks at the platform's contacts while the node knows no other node. */
+  private static final Duration CONTACT_INTERVAL = Duration.ofSeconds(15);
+
+  /** Time after which a node that has not joined reads the platform nevertheless. */
+  private static final Duration JOIN_LIMIT = Duration.ofSeconds(5);
+
+  private final NodeContext context;
+  private final Membership membership;
+  private final HttpPlatformClient platform;
+  private final ReaderService readers;
+  private final EventExecutor controlThread;
+  private final ContactDirectory contacts;
+  private final MeshDirectory meshContacts;
+  private boolean readMesh;
+  private volatile boolean stopping;
+
+  StandardSide(
+      NodeContext context,
+      Membership membership,
+      PublishedConfiguration distributor,
+      EventExecutor controlThread) {
+    this.context = context;
+    this.membership = membership;
+    this.controlThread = controlThread;
+    ModuleSettings modules = new ModuleSettings(context.settings());
+    platform =
+        new HttpPlatformClient(
+            modules.platform(),
+            context.group(),
+            context.clock(),
+            context.random(),
+            context.registry());
+    ReaderSettings readerSettings = modules.reader();
+    readers =
+        new ReaderService(
+            membership,
+            readerSettings,
+            platform,
+            distributor,
+            TaskScheduler.on(controlThread),
+            context.clock(),
+            context.random(),
+            this::contactsFound);
+    meshContacts = new MeshDirectory(platform);
+    contacts = new ContactDirectory(platform, readerSettings.contacts());
+  }
+
+  HttpPlatformClient platform() {
+    return platform;
+  }
+
+  @Override
+  public void start() {
+    // A node whose contacts are all gone must still be able to read the platform.
+    membership
+        .joined()
+        .completeOnTimeout(null, JOIN_LIMIT.toMillis(), TimeUnit.MILLISECONDS)
+        .thenRunAsync(this::startReading, controlThread);
+    long delay = context.random().nextLong(CONTACT_INTERVAL.toNanos());
+    context.scheduler().schedule(delay, this::refreshContacts);
+  }
+
+  private void startReading() {
+    if (!stopping) {
+      readers.start();
+    }
+  }
+
+  /**
+   * Adds the platform's contacts to those of the settings while the node knows no other node, so
+   * that either source alone is enough to join.
+   *
+   * <p>The contacts of the node's data centre and those of the mesh are read in turn. The first
+   * look is at a random time of the interval, so 12,000 nodes make 800 reads/s, where the platform
+   * takes 2,000 reads/s.
+   */
+  private void refreshContacts() {
+    if (stopping) {
+      return;
+    }
+    if (membership.nodes().size() <= 1) {
+      CompletableFuture<List<InetSocketAddress>> read =
+          readMesh ? meshContacts.read() : contacts.read(context.settings().get(DATA_CENTRE));
+      readMesh = !readMesh;
+      CompletableFuture<Void> unused = read.thenAccept(this::contactsFound);
+    }
+    context.scheduler().schedule(CONTACT_INTERVAL.toNanos(), this::refreshContacts);
+  }
+
+  /** Keeps the contacts of the settings first; an empty result leaves the former ones in use. */
+  private void contactsFound(List<InetSocketAddress> found) {
+    if (!found.isEmpty()) {
+      membership.setContacts(
+          Stream.concat(context.settings().get(CONTACTS).stream(), found.stream())
+              .distinct()
+              .toList());
+    }
+  }
+
+  @Override
+  public void stop() {
+    stopping = true;
+    controlThread.submit(readers::close).awaitUninterruptibly();
+  }
+
+  @Override
+  public void close() {
+    platform.close();
+  }
+}
--- a/product/src/main/java/io/foxtaildoor/process/platform/MeshDirectory.java
+++ b/product/src/main/java/io/foxtaildoor/process/platform/MeshDirectory.java
@@ -23,7 +23,7 @@
 
   private static final String KEY = "contacts/mesh";
 
-  private final PlatformClient client;
+  private final KeyValueStore client;
 
   private record Contact(String dataCentre, InetSocketAddress address) {
     static Optional<Contact> parse(String line) {
@@ -45,7 +45,7 @@
   }
 
   /** Creates a directory on a platform. */
-  public MeshDirectory(PlatformClient client) {
+  public MeshDirectory(KeyValueStore client) {
     this.client = client;
   }
 
@@ -61,7 +61,7 @@
    *
    * @return the addresses before the change
    */
-  CompletableFuture<List<InetSocketAddress>> refresh(
+  public CompletableFuture<List<InetSocketAddress>> refresh(
       DataCentreId dataCentre, InetSocketAddress self, Predicate<InetSocketAddress> alive) {
     return client
         .get(KEY)
--- a/product/src/main/java/io/foxtaildoor/process/platform/PlatformRequest.java
+++ b/product/src/main/java/io/foxtaildoor/process/platform/PlatformRequest.java
@@ -11,5 +11,5 @@
  * @param waitNanos time for which the platform may hold the answer back
  */
 @SuppressWarnings("ArrayRecordComponent") // The body is sent, never compared.
-record PlatformRequest(
+public record PlatformRequest(
     HttpMethod method, String target, byte[] body, boolean write, long waitNanos) {}
--- a/product/src/main/java/io/foxtaildoor/process/settings/NodeSettings.java
+++ b/product/src/main/java/io/foxtaildoor/process/settings/NodeSettings.java
@@ -9,19 +9,31 @@
 import static io.foxtaildoor.process.settings.SettingTypes.id;
 import static io.foxtaildoor.process.settings.SettingTypes.integer;
 import static io.foxtaildoor.process.settings.SettingTypes.keyword;
+import static io.foxtaildoor.process.settings.SettingTypes.optionalEndpoint;
 import static io.foxtaildoor.process.settings.SettingTypes.port;
+import static io.foxtaildoor.process.settings.SettingTypes.texts;
 
 import io.foxtaildoor.common.DataCentreId;
 import io.foxtaildoor.common.RegionId;
+import io.foxtaildoor.common.ServiceId;
 import io.foxtaildoor.request.admission.AdmissionMode;
 import io.foxtaildoor.request.balance.SelectionMode;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 
 /** The settings of a node, each with its form, default and description. */
 public final class NodeSettings {
+  /** Manner in which the platform speaks. */
+  public enum PlatformInterface {
+    /** The product's own interface. */
+    STANDARD,
+    /** The interface of the users' managed platform. */
+    MANAGED
+  }
+
   /** Level of the log. */
   public enum LogLevel {
     /** Failures only. */
@@ -50,6 +62,62 @@
   public static final Setting<InetAddress> ADDRESS =
       required("node.address", address(), "address of the host, at which other nodes reach it");
 
+  public static final Setting<Optional<DataCentreId>> NODE_NAME =
+      optional(
+          "node.name",
+          SettingTypes.optional(id("node name", DataCentreId::new)),
+          Optional.empty(),
+          "begin of the node's id; the data centre if it is left out");
+
+  public static final Setting<Optional<InetSocketAddress>> CALLER_ENDPOINT =
+      optional(
+          "listeners.callerEndpoint",
+          optionalEndpoint(),
+          Optional.empty(),
+          "HTTP address for callers, in place of the port");
+
+  public static final Setting<Optional<InetSocketAddress>> READINESS_ENDPOINT =
+      optional(
+          "listeners.readinessEndpoint",
+          optionalEndpoint(),
+          Optional.empty(),
+          "HTTP address at which a managed platform asks for readiness");
+
+  public static final Setting<Optional<InetSocketAddress>> REPORTS_ENDPOINT =
+      optional(
+          "listeners.reportsEndpoint",
+          optionalEndpoint(),
+          Optional.empty(),
+          "HTTP address for the reports of the upstream of a managed platform");
+
+  public static final Setting<Optional<InetSocketAddress>> UPSTREAM_ENDPOINT =
+      optional(
+          "upstream.endpoint",
+          optionalEndpoint(),
+          Optional.empty(),
+          "HTTP address of the upstream of a managed platform");
+
+  public static final Setting<Optional<ServiceId>> UPSTREAM_SERVICE =
+      optional(
+          "upstream.service",
+          SettingTypes.optional(id("service id", ServiceId::new)),
+          Optional.empty(),
+          "service of the upstream of a managed platform and of the callers on its host");
+
+  public static final Setting<PlatformInterface> PLATFORM_INTERFACE =
+      optional(
+          "platform.interface",
+          keyword(PlatformInterface.class),
+          PlatformInterface.STANDARD,
+          "manner in which the platform speaks");
+
+  public static final Setting<List<String>> PLATFORM_BOUNDS =
+      optional(
+          "platform.bounds",
+          texts("name=value"),
+          List.of(),
+          "bounds that a managed platform sets for the deployment");
+
   public static final Setting<Integer> CALLER_PORT =
       optional("listeners.callerPort", port(), 7480, "HTTP port for callers");
 
@@ -177,7 +245,15 @@
           SELECTION,
           ANNOUNCEMENT_EXPIRY,
           DRAIN_TIMEOUT,
-          LOG_LEVEL);
+          LOG_LEVEL,
+          NODE_NAME,
+          CALLER_ENDPOINT,
+          READINESS_ENDPOINT,
+          REPORTS_ENDPOINT,
+          UPSTREAM_ENDPOINT,
+          UPSTREAM_SERVICE,
+          PLATFORM_INTERFACE,
+          PLATFORM_BOUNDS);
 
   private NodeSettings() {}
 
--- a/product/src/main/java/io/foxtaildoor/process/settings/SettingTypes.java
+++ b/product/src/main/java/io/foxtaildoor/process/settings/SettingTypes.java
@@ -11,6 +11,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.Function;
 
@@ -115,6 +116,34 @@
         Object::toString);
   }
 
+  /** An address that may be left out. */
+  static SettingType<Optional<InetSocketAddress>> optionalEndpoint() {
+    return new SettingType<>(
+        "IP:PORT",
+        value -> Optional.of(parseEndpoint(text(value))),
+        endpoint -> endpoint.map(NetUtil::toSocketAddressString).orElse("none"));
+  }
+
+  /** A value that may be left out. */
+  static <T> SettingType<Optional<T>> optional(SettingType<T> type) {
+    return new SettingType<>(
+        type.description(),
+        value -> Optional.of(type.parser().apply(value)),
+        present -> present.map(type.formatter()).orElse("none"));
+  }
+
+  /** Texts of a form that the reader of the setting checks. */
+  static SettingType<List<String>> texts(String form) {
+    return new SettingType<>("list of " + form, SettingTypes::parseTexts, List::toString);
+  }
+
+  private static List<String> parseTexts(YamlValue value) {
+    if (value instanceof YamlValue.Sequence sequence) {
+      return sequence.values().stream().map(SettingTypes::text).toList();
+    }
+    throw new IllegalArgumentException("must be a list");
+  }
+
   static SettingType<List<InetSocketAddress>> endpoints() {
     return new SettingType<>(
         "list of IP:PORT", SettingTypes::parseEndpoints, SettingTypes::formatEndpoints);
--- a/product/src/main/java/io/foxtaildoor/request/balance/BalanceSettings.java
+++ b/product/src/main/java/io/foxtaildoor/request/balance/BalanceSettings.java
@@ -45,6 +45,22 @@
         SelectionMode.POWER_OF_TWO);
   }
 
+  /** The same settings with another slow start. */
+  public BalanceSettings withSlowStart(Duration time) {
+    return new BalanceSettings(
+        latencyWindow,
+        latencyMemory,
+        reportLifetime,
+        time,
+        slowStartShare,
+        spillOccupancy,
+        consecutiveFailures,
+        firstEjection,
+        longestEjection,
+        riskyProbeDelay,
+        selection);
+  }
+
   /** The same settings with another way to choose an instance. */
   public BalanceSettings withSelection(SelectionMode other) {
     return new BalanceSettings(
--- a/product/src/main/java/io/foxtaildoor/request/retry/FailedAttempt.java
+++ b/product/src/main/java/io/foxtaildoor/request/retry/FailedAttempt.java
@@ -9,6 +9,8 @@
  * @param idempotent whether the route declares the work idempotent
  * @param depth position in the call chain; 0 is a call from outside the mesh
  * @param attempt number of the failed attempt, from 1
+ * @param arrivals attempts that reached an upstream or may have, this one included
+ * @param maxArrivals upstreams that one request may reach; 0 leaves it to the settings
  * @param remainingNanos time left of the deadline
  * @param bodyReplayable whether all that was sent of the body is still held
  */
@@ -18,5 +20,7 @@
     boolean idempotent,
     int depth,
     int attempt,
+    int arrivals,
+    int maxArrivals,
     long remainingNanos,
     boolean bodyReplayable) {}
--- a/product/src/main/java/io/foxtaildoor/request/retry/RetryBudget.java
+++ b/product/src/main/java/io/foxtaildoor/request/retry/RetryBudget.java
@@ -1,8 +1,11 @@
 package io.foxtaildoor.request.retry;
 
+import java.util.function.DoubleSupplier;
+
 /** Retry budget of one service over a decaying window; safe for use by several threads. */
 public final class RetryBudget {
   private final RetrySettings settings;
+  private final DoubleSupplier floor;
   private final double windowNanos;
   private double requests;
   private double retries;
@@ -10,7 +13,12 @@
 
   /** Creates a budget with an empty window. */
   public RetryBudget(RetrySettings settings, long nowNanos) {
+    this(settings, settings::budgetFloor, nowNanos);
+  }
+
+  RetryBudget(RetrySettings settings, DoubleSupplier floor, long nowNanos) {
     this.settings = settings;
+    this.floor = floor;
     this.windowNanos = settings.budgetWindow().toNanos();
     this.decayedAtNanos = nowNanos;
   }
@@ -24,7 +32,7 @@
   /** Takes one retry from the budget when it is not used up. */
   public synchronized boolean tryRetry(long nowNanos) {
     decay(nowNanos);
-    if (retries + 1 > settings.budgetFloor() + settings.budgetShare() * requests) {
+    if (retries + 1 > floor.getAsDouble() + settings.budgetShare() * requests) {
       return false;
     }
     retries++;
--- a/product/src/main/java/io/foxtaildoor/request/retry/RetryBudgets.java
+++ b/product/src/main/java/io/foxtaildoor/request/retry/RetryBudgets.java
@@ -3,21 +3,33 @@
 import io.foxtaildoor.common.ServiceId;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.DoubleSupplier;
 import java.util.function.Predicate;
 
 /** The retry budgets of all services; safe for use by several threads. */
 public final class RetryBudgets {
   private final RetrySettings settings;
+  private final DoubleSupplier floor;
   private final Map<ServiceId, RetryBudget> budgets = new ConcurrentHashMap<>();
 
   /** Creates budgets with equal settings for every service. */
   public RetryBudgets(RetrySettings settings) {
+    this(settings, settings::budgetFloor);
+  }
+
+  /**
+   * Creates budgets whose floor changes with the number of nodes that share it.
+   *
+   * @param floor retries that this node may make in the window whatever the number of requests
+   */
+  public RetryBudgets(RetrySettings settings, DoubleSupplier floor) {
     this.settings = settings;
+    this.floor = floor;
   }
 
   /** The budget of a service. */
   public RetryBudget of(ServiceId service, long nowNanos) {
-    return budgets.computeIfAbsent(service, id -> new RetryBudget(settings, nowNanos));
+    return budgets.computeIfAbsent(service, id -> new RetryBudget(settings, floor, nowNanos));
   }
 
   /** Forgets the services that are no longer in the configuration. */
--- a/product/src/main/java/io/foxtaildoor/request/retry/RetryPolicy.java
+++ b/product/src/main/java/io/foxtaildoor/request/retry/RetryPolicy.java
@@ -32,7 +32,8 @@
     if (!failure.notRun() && failure.depth() > 0) {
       return RetryDecision.TOO_DEEP;
     }
-    if (failure.attempt() >= settings.maxAttempts()) {
+    boolean reachedLimit = failure.maxArrivals() > 0 && failure.arrivals() >= failure.maxArrivals();
+    if (reachedLimit || failure.attempt() >= settings.maxAttempts()) {
       return RetryDecision.LAST_ATTEMPT;
     }
     if (failure.remainingNanos() < settings.minRemaining().toNanos()) {
@@ -41,6 +42,9 @@
     if (!failure.bodyReplayable()) {
       return RetryDecision.BODY_CONSUMED;
     }
+    if (settings.refusalsAreFree() && failure.arrivals() == 0) {
+      return RetryDecision.SEND_AGAIN;
+    }
     return budget.getAsBoolean() ? RetryDecision.SEND_AGAIN : RetryDecision.NO_BUDGET;
   }
 }
--- a/product/src/main/java/io/foxtaildoor/request/retry/RetrySettings.java
+++ b/product/src/main/java/io/foxtaildoor/request/retry/RetrySettings.java
@@ -9,6 +9,8 @@
  * @param minRemaining time that must be left for another attempt
  * @param budgetShare retries as a share of recent requests
  * @param budgetFloor retries admitted in the window whatever the number of requests
+ * @param refusalsAreFree whether a request that reached no upstream yet is sent again without the
+ *     budget
  * @param budgetWindow time constant after which requests and retries have decayed
  */
 public record RetrySettings(
@@ -16,9 +18,10 @@
     Duration minRemaining,
     double budgetShare,
     double budgetFloor,
-    Duration budgetWindow) {
+    Duration budgetWindow,
+    boolean refusalsAreFree) {
   /** The values of the design page. */
   public static RetrySettings defaults() {
-    return new RetrySettings(3, Duration.ofMillis(2), 0.1, 3, Duration.ofSeconds(10));
+    return new RetrySettings(3, Duration.ofMillis(2), 0.1, 3, Duration.ofSeconds(10), false);
   }
 }
--- a/product/src/main/java/io/foxtaildoor/version/routing/Route.java
+++ b/product/src/main/java/io/foxtaildoor/version/routing/Route.java
@@ -5,8 +5,10 @@
 import io.foxtaildoor.common.TeamId;
 import io.foxtaildoor.protocol.RouteConfiguration;
 import java.time.Duration;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.random.RandomGenerator;
 
 /**
  * A kind of work: the requests that match and how they are treated.
@@ -14,8 +16,12 @@
  * @param team the team that declared the route
  * @param methods admitted methods; empty admits all
  * @param prefix whether paths below {@code path} match as well
- * @param service the service that requests go to
+ * @param service the service that requests go to, unless the route has a split
+ * @param deadline longest time that a caller waits for its answer
  * @param maxBodyBytes largest request body
+ * @param maxAttempts instances to which one request may be sent; 0 leaves it to the node
+ * @param objective time within which an answer has its full worth; zero when it is not stated
+ * @param split services that share the requests by weight; empty when all go to {@code service}
  */
 public record Route(
     String name,
@@ -28,7 +34,25 @@
     boolean idempotent,
     Rank rank,
     Duration deadline,
-    long maxBodyBytes) {
+    long maxBodyBytes,
+    int maxAttempts,
+    Duration objective,
+    List<WeightedTarget> split) {
+  /** Chooses the service of one request; the parts of a split get their share by weight. */
+  public ServiceId chooseService(RandomGenerator random) {
+    if (split.isEmpty()) {
+      return service;
+    }
+    int drawn = random.nextInt(split.stream().mapToInt(WeightedTarget::weight).sum());
+    for (WeightedTarget target : split) {
+      drawn -= target.weight();
+      if (drawn < 0) {
+        return target.service();
+      }
+    }
+    throw new IllegalStateException("the weights of route " + name + " changed");
+  }
+
   static Route of(TeamId team, RouteConfiguration c) {
     return new Route(
         c.getName(),
@@ -41,7 +65,10 @@
         c.getIdempotent(),
         Rank.of(c.getRankValue()),
         Duration.ofMillis(c.getDeadlineMillis()),
-        c.getMaxBodyBytes());
+        c.getMaxBodyBytes(),
+        c.getMaxAttempts(),
+        Duration.ofMillis(c.getObjectiveMillis()),
+        c.getSplitList().stream().map(WeightedTarget::of).toList());
   }
 
   /** Takes equal values from the map, because most routes of a team repeat them. */
@@ -57,7 +84,10 @@
         idempotent,
         rank,
         share(shared, deadline),
-        maxBodyBytes);
+        maxBodyBytes,
+        maxAttempts,
+        share(shared, objective),
+        split);
   }
 
   @SuppressWarnings("unchecked") // Equal keys of these types have one class.
--- a/product/src/main/java/io/foxtaildoor/version/routing/RouteTable.java
+++ b/product/src/main/java/io/foxtaildoor/version/routing/RouteTable.java
@@ -40,11 +40,13 @@
     }
     Map<String, List<Route>> routes = new HashMap<>();
     for (TeamRoutes team : teams) {
-      for (Route route : team.called()) {
-        if (!services.containsKey(route.service())) {
-          throw missingService(route);
-        }
-      }
+      team.called()
+          .forEach(
+              (service, route) -> {
+                if (!services.containsKey(service)) {
+                  throw missingService(service, route);
+                }
+              });
       team.routesByHost().forEach((host, list) -> routes.merge(host, list, RouteTable::join));
     }
     return new RouteTable(services, routes);
@@ -56,7 +58,7 @@
     return TeamRoutes.sorted(joined);
   }
 
-  private static FoxtaildoorException missingService(Route route) {
+  private static FoxtaildoorException missingService(ServiceId service, Route route) {
     return new FoxtaildoorException(
         ErrorKind.BAD_CONFIGURATION,
         "route "
@@ -64,7 +66,7 @@
             + " of team "
             + route.team()
             + " names the missing service "
-            + route.service());
+            + service);
   }
 
   static void require(boolean condition, String message) {
--- a/product/src/main/java/io/foxtaildoor/version/routing/TeamRoutes.java
+++ b/product/src/main/java/io/foxtaildoor/version/routing/TeamRoutes.java
@@ -28,7 +28,7 @@
     TeamId team,
     List<Service> services,
     Map<String, List<Route>> routesByHost,
-    List<Route> called) {
+    Map<ServiceId, Route> called) {
   private static final Comparator<Route> LONGEST_PATH_FIRST =
       Comparator.comparingInt((Route route) -> route.path().length())
           .reversed()
@@ -39,7 +39,7 @@
   public TeamRoutes {
     services = List.copyOf(services);
     routesByHost = Map.copyOf(routesByHost);
-    called = List.copyOf(called);
+    called = Map.copyOf(called);
   }
 
   /**
@@ -62,12 +62,13 @@
         String host = route.host().toLowerCase(Locale.ROOT);
         routes.computeIfAbsent(host, key -> new ArrayList<>()).add(route);
         called.putIfAbsent(route.service(), route);
+        route.split().forEach(target -> called.putIfAbsent(target.service(), route));
       }
     } catch (IndexOutOfBoundsException e) {
       throw new FoxtaildoorException(ErrorKind.BAD_CONFIGURATION, "unknown rank", e);
     }
     routes.replaceAll((host, list) -> sorted(list));
-    return new TeamRoutes(team, services, routes, List.copyOf(called.values()));
+    return new TeamRoutes(team, services, routes, called);
   }
 
   /** The sort is stable, so sorted lists may be joined and sorted again. */
--- a/product/src/test/java/io/foxtaildoor/connection/caller/CallerFixture.java
+++ b/product/src/test/java/io/foxtaildoor/connection/caller/CallerFixture.java
@@ -81,6 +81,7 @@
   CallerDependencies dependencies() {
     SplittableRandom random = new SplittableRandom(3);
     return new CallerDependencies(
+        CallerProtocol.STANDARD,
         () -> configuration,
         fleet,
         links,
--- a/product/src/test/java/io/foxtaildoor/connection/upstream/UpstreamFixture.java
+++ b/product/src/test/java/io/foxtaildoor/connection/upstream/UpstreamFixture.java
@@ -1,6 +1,7 @@
 package io.foxtaildoor.connection.upstream;
 
 import io.foxtaildoor.common.ErrorKind;
+import io.foxtaildoor.common.HeaderDialect;
 import io.foxtaildoor.common.Rank;
 import io.foxtaildoor.common.ServiceId;
 import io.foxtaildoor.common.TeamId;
@@ -55,6 +56,8 @@
             Duration.ofSeconds(20),
             Duration.ofSeconds(20),
             Duration.ofSeconds(20),
+            0,
+            HeaderDialect.STANDARD,
             1 << 20,
             1 << 22,
             AdmissionSettings.defaults(),
--- a/product/src/test/java/io/foxtaildoor/request/retry/RetryMultiplication.java
+++ b/product/src/test/java/io/foxtaildoor/request/retry/RetryMultiplication.java
@@ -62,7 +62,7 @@
   private static boolean again(RetryDecider decider, boolean notRun, int depth, int attempt) {
     ErrorKind kind = notRun ? ErrorKind.OVERLOADED : ErrorKind.OUTCOME_UNKNOWN;
     return decider.sendsAgain(
-        new FailedAttempt(kind, notRun, true, depth, attempt, AMPLE_NANOS, true));
+        new FailedAttempt(kind, notRun, true, depth, attempt, attempt, 0, AMPLE_NANOS, true));
   }
 
   /** A policy to compare. */
--- a/product/src/test/java/io/foxtaildoor/request/retry/RetryPolicyTest.java
+++ b/product/src/test/java/io/foxtaildoor/request/retry/RetryPolicyTest.java
@@ -25,6 +25,8 @@
         random.nextBoolean(),
         random.nextInt(28),
         1 + random.nextInt(4),
+        random.nextInt(4),
+        random.nextInt(4),
         random.nextInt(10) * 1_000_000L,
         random.nextBoolean());
   }
@@ -44,6 +46,9 @@
         assertTrue(failure.notRun() || failure.depth() == 0, "nested retry: " + failure);
         assertTrue(failure.kind().retry() != ErrorKind.Retry.NEVER, "final kind: " + failure);
         assertTrue(failure.bodyReplayable() && budget, "no body or budget: " + failure);
+        assertTrue(
+            failure.maxArrivals() == 0 || failure.arrivals() < failure.maxArrivals(),
+            "more upstreams than the route admits: " + failure);
         assertTrue(failure.attempt() < 3 && failure.remainingNanos() > 0, failure.toString());
       }
     }
@@ -54,8 +59,8 @@
   @Test
   public void everyRetriableKindIsRetried() {
     for (ErrorKind kind : ErrorKind.values()) {
-      FailedAttempt refused = new FailedAttempt(kind, true, false, 27, 1, 5_000_000, true);
-      FailedAttempt unknown = new FailedAttempt(kind, false, true, 0, 1, 5_000_000, true);
+      FailedAttempt refused = new FailedAttempt(kind, true, false, 27, 1, 1, 0, 5_000_000, true);
+      FailedAttempt unknown = new FailedAttempt(kind, false, true, 0, 1, 1, 0, 5_000_000, true);
       boolean retriable = kind.retry() != ErrorKind.Retry.NEVER;
       assertEquals(policy.decide(refused, () -> true).sendsAgain(), retriable, kind.name());
       assertEquals(policy.decide(unknown, () -> true).sendsAgain(), retriable, kind.name());
@@ -65,7 +70,8 @@
   /** Guards against a budget that a refused retry uses up. */
   @Test
   public void budgetIsAskedLast() {
-    FailedAttempt last = new FailedAttempt(ErrorKind.OVERLOADED, true, true, 0, 3, 5_000_000, true);
+    FailedAttempt last =
+        new FailedAttempt(ErrorKind.OVERLOADED, true, true, 0, 3, 1, 0, 5_000_000, true);
     RetryDecision decision =
         policy.decide(
             last,
--- a/protocol/src/main/java/io/foxtaildoor/protocol/Datagram.java
+++ b/protocol/src/main/java/io/foxtaildoor/protocol/Datagram.java
@@ -1336,8 +1336,8 @@
     public int getUpdatesCount() {
       return instance.getUpdatesCount();
     }
-
     /** <code>repeated .foxtaildoor.NodeRecordMessage updates = 15;</code> */
+
     @java.lang.Override
     public io.foxtaildoor.protocol.NodeRecordMessage getUpdates(int index) {
       return instance.getUpdates(index);
@@ -1450,9 +1450,11 @@
                 io.foxtaildoor.protocol.NodeRecordMessage.class,
               };
           java.lang.String info =
-              "\u0000\r\u0001\u0001\u0001\u000f\r\u0000\u0001\u0000\u0001\u000b\u0002\u0208\u0003"
-                  + "\u0208\u0004\u0003\u0005\u1009\u0000\u0006<\u0000\u0007<\u0000\b<\u0000\t<\u0000"
-                  + "\n<\u0000\u000b<\u0000\f<\u0000\u000f\u001b";
+              "\u0000\r"
+                  + "\u0001\u0001\u0001\u000f\r"
+                  + "\u0000\u0001\u0000\u0001\u000b\u0002\u0208\u0003\u0208\u0004\u0003\u0005\u1009\u0000\u0006<\u0000\u0007<\u0000\b<\u0000"
+                  + "\t<\u0000\n"
+                  + "<\u0000\u000b<\u0000\f<\u0000\u000f\u001b";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
         }
       case GET_DEFAULT_INSTANCE:
--- a/protocol/src/main/java/io/foxtaildoor/protocol/Frame.java
+++ b/protocol/src/main/java/io/foxtaildoor/protocol/Frame.java
@@ -1877,8 +1877,9 @@
           java.lang.String info =
               "\u0000\u0012\u0001\u0000\u0001\u0012\u0012\u0000\u0000\u0000\u0001<\u0000\u0002<"
                   + "\u0000\u0003<\u0000\u0004<\u0000\u0005<\u0000\u0006<\u0000\u0007<\u0000\b<\u0000"
-                  + "\t<\u0000\n<\u0000\u000b<\u0000\f<\u0000\r<\u0000\u000e<\u0000\u000f<\u0000\u0010"
-                  + "<\u0000\u0011<\u0000\u0012<\u0000";
+                  + "\t<\u0000\n"
+                  + "<\u0000\u000b<\u0000\f<\u0000\r"
+                  + "<\u0000\u000e<\u0000\u000f<\u0000\u0010<\u0000\u0011<\u0000\u0012<\u0000";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
         }
       case GET_DEFAULT_INSTANCE:
--- a/protocol/src/main/java/io/foxtaildoor/protocol/RequestStart.java
+++ b/protocol/src/main/java/io/foxtaildoor/protocol/RequestStart.java
@@ -1120,8 +1120,8 @@
     public int getHeadersCount() {
       return instance.getHeadersCount();
     }
-
     /** <code>repeated .foxtaildoor.Header headers = 8;</code> */
+
     @java.lang.Override
     public io.foxtaildoor.protocol.Header getHeaders(int index) {
       return instance.getHeaders(index);
@@ -1506,9 +1506,10 @@
                 "end_",
               };
           java.lang.String info =
-              "\u0000\u000f\u0000\u0000\u0001\u000f\u000f\u0000\u0001\u0000\u0001\u0003\u0002\u0208"
-                  + "\u0003\u0208\u0004\u0208\u0005\u0003\u0006\u0208\u0007\u0208\b\u001b\t\u0007\n\f"
-                  + "\u000b\u0003\f\u000b\r\u000b\u000e\u0208\u000f\u0007";
+              "\u0000\u000f\u0000\u0000\u0001\u000f\u000f\u0000\u0001\u0000\u0001\u0003\u0002\u0208\u0003\u0208\u0004\u0208\u0005\u0003\u0006\u0208\u0007\u0208\b\u001b"
+                  + "\t\u0007\n"
+                  + "\f\u000b\u0003\f\u000b\r"
+                  + "\u000b\u000e\u0208\u000f\u0007";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
         }
       case GET_DEFAULT_INSTANCE:
--- a/protocol/src/main/java/io/foxtaildoor/protocol/RouteConfiguration.java
+++ b/protocol/src/main/java/io/foxtaildoor/protocol/RouteConfiguration.java
@@ -26,6 +26,7 @@
     methods_ = com.google.protobuf.GeneratedMessageLite.emptyProtobufList();
     path_ = "";
     service_ = "";
+    split_ = emptyProtobufList();
   }
 
   public static final int NAME_FIELD_NUMBER = 1;
@@ -639,6 +640,273 @@
     maxBodyBytes_ = 0L;
   }
 
+  public static final int MAX_ATTEMPTS_FIELD_NUMBER = 11;
+  private int maxAttempts_;
+
+  /**
+   *
+   *
+   * <pre>
+   * Instances to which one request may be sent; 0 stands for the node's own limit.
+   * </pre>
+   *
+   * <code>uint32 max_attempts = 11;</code>
+   *
+   * @return The maxAttempts.
+   */
+  @java.lang.Override
+  public int getMaxAttempts() {
+    return maxAttempts_;
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * Instances to which one request may be sent; 0 stands for the node's own limit.
+   * </pre>
+   *
+   * <code>uint32 max_attempts = 11;</code>
+   *
+   * @param value The maxAttempts to set.
+   */
+  private void setMaxAttempts(int value) {
+
+    maxAttempts_ = value;
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * Instances to which one request may be sent; 0 stands for the node's own limit.
+   * </pre>
+   *
+   * <code>uint32 max_attempts = 11;</code>
+   */
+  private void clearMaxAttempts() {
+
+    maxAttempts_ = 0;
+  }
+
+  public static final int OBJECTIVE_MILLIS_FIELD_NUMBER = 12;
+  private int objectiveMillis_;
+
+  /**
+   *
+   *
+   * <pre>
+   * Time within which an answer has its full worth to the caller; 0 stands for the deadline.
+   * </pre>
+   *
+   * <code>uint32 objective_millis = 12;</code>
+   *
+   * @return The objectiveMillis.
+   */
+  @java.lang.Override
+  public int getObjectiveMillis() {
+    return objectiveMillis_;
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * Time within which an answer has its full worth to the caller; 0 stands for the deadline.
+   * </pre>
+   *
+   * <code>uint32 objective_millis = 12;</code>
+   *
+   * @param value The objectiveMillis to set.
+   */
+  private void setObjectiveMillis(int value) {
+
+    objectiveMillis_ = value;
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * Time within which an answer has its full worth to the caller; 0 stands for the deadline.
+   * </pre>
+   *
+   * <code>uint32 objective_millis = 12;</code>
+   */
+  private void clearObjectiveMillis() {
+
+    objectiveMillis_ = 0;
+  }
+
+  public static final int SPLIT_FIELD_NUMBER = 13;
+  private com.google.protobuf.Internal.ProtobufList<io.foxtaildoor.protocol.WeightedService> split_;
+
+  /**
+   *
+   *
+   * <pre>
+   * When present, each request goes to one of these in place of the service above.
+   * </pre>
+   *
+   * <code>repeated .foxtaildoor.WeightedService split = 13;</code>
+   */
+  @java.lang.Override
+  public java.util.List<io.foxtaildoor.protocol.WeightedService> getSplitList() {
+    return split_;
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * When present, each request goes to one of these in place of the service above.
+   * </pre>
+   *
+   * <code>repeated .foxtaildoor.WeightedService split = 13;</code>
+   */
+  public java.util.List<? extends io.foxtaildoor.protocol.WeightedServiceOrBuilder>
+      getSplitOrBuilderList() {
+    return split_;
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * When present, each request goes to one of these in place of the service above.
+   * </pre>
+   *
+   * <code>repeated .foxtaildoor.WeightedService split = 13;</code>
+   */
+  @java.lang.Override
+  public int getSplitCount() {
+    return split_.size();
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * When present, each request goes to one of these in place of the service above.
+   * </pre>
+   *
+   * <code>repeated .foxtaildoor.WeightedService split = 13;</code>
+   */
+  @java.lang.Override
+  public io.foxtaildoor.protocol.WeightedService getSplit(int index) {
+    return split_.get(index);
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * When present, each request goes to one of these in place of the service above.
+   * </pre>
+   *
+   * <code>repeated .foxtaildoor.WeightedService split = 13;</code>
+   */
+  public io.foxtaildoor.protocol.WeightedServiceOrBuilder getSplitOrBuilder(int index) {
+    return split_.get(index);
+  }
+
+  private void ensureSplitIsMutable() {
+    com.google.protobuf.Internal.ProtobufList<io.foxtaildoor.protocol.WeightedService> tmp = split_;
+    if (!tmp.isModifiable()) {
+      split_ = com.google.protobuf.GeneratedMessageLite.mutableCopy(tmp);
+    }
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * When present, each request goes to one of these in place of the service above.
+   * </pre>
+   *
+   * <code>repeated .foxtaildoor.WeightedService split = 13;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void setSplit(int index, io.foxtaildoor.protocol.WeightedService value) {
+    value.getClass(); // minimal bytecode null check
+    ensureSplitIsMutable();
+    split_.set(index, value);
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * When present, each request goes to one of these in place of the service above.
+   * </pre>
+   *
+   * <code>repeated .foxtaildoor.WeightedService split = 13;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void addSplit(io.foxtaildoor.protocol.WeightedService value) {
+    value.getClass(); // minimal bytecode null check
+    ensureSplitIsMutable();
+    split_.add(value);
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * When present, each request goes to one of these in place of the service above.
+   * </pre>
+   *
+   * <code>repeated .foxtaildoor.WeightedService split = 13;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void addSplit(int index, io.foxtaildoor.protocol.WeightedService value) {
+    value.getClass(); // minimal bytecode null check
+    ensureSplitIsMutable();
+    split_.add(index, value);
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * When present, each request goes to one of these in place of the service above.
+   * </pre>
+   *
+   * <code>repeated .foxtaildoor.WeightedService split = 13;</code>
+   */
+  private void addAllSplit(
+      java.lang.Iterable<? extends io.foxtaildoor.protocol.WeightedService> values) {
+    ensureSplitIsMutable();
+    com.google.protobuf.AbstractMessageLite.addAll(values, split_);
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * When present, each request goes to one of these in place of the service above.
+   * </pre>
+   *
+   * <code>repeated .foxtaildoor.WeightedService split = 13;</code>
+   */
+  private void clearSplit() {
+    split_ = emptyProtobufList();
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * When present, each request goes to one of these in place of the service above.
+   * </pre>
+   *
+   * <code>repeated .foxtaildoor.WeightedService split = 13;</code>
+   */
+  private void removeSplit(int index) {
+    ensureSplitIsMutable();
+    split_.remove(index);
+  }
+
   public static io.foxtaildoor.protocol.RouteConfiguration parseFrom(java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return com.google.protobuf.GeneratedMessageLite.parseFrom(DEFAULT_INSTANCE, data);
@@ -1382,6 +1650,288 @@
       return this;
     }
 
+    /**
+     *
+     *
+     * <pre>
+     * Instances to which one request may be sent; 0 stands for the node's own limit.
+     * </pre>
+     *
+     * <code>uint32 max_attempts = 11;</code>
+     *
+     * @return The maxAttempts.
+     */
+    @java.lang.Override
+    public int getMaxAttempts() {
+      return instance.getMaxAttempts();
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Instances to which one request may be sent; 0 stands for the node's own limit.
+     * </pre>
+     *
+     * <code>uint32 max_attempts = 11;</code>
+     *
+     * @param value The maxAttempts to set.
+     * @return This builder for chaining.
+     */
+    public Builder setMaxAttempts(int value) {
+      copyOnWrite();
+      instance.setMaxAttempts(value);
+      return this;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Instances to which one request may be sent; 0 stands for the node's own limit.
+     * </pre>
+     *
+     * <code>uint32 max_attempts = 11;</code>
+     *
+     * @return This builder for chaining.
+     */
+    public Builder clearMaxAttempts() {
+      copyOnWrite();
+      instance.clearMaxAttempts();
+      return this;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Time within which an answer has its full worth to the caller; 0 stands for the deadline.
+     * </pre>
+     *
+     * <code>uint32 objective_millis = 12;</code>
+     *
+     * @return The objectiveMillis.
+     */
+    @java.lang.Override
+    public int getObjectiveMillis() {
+      return instance.getObjectiveMillis();
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Time within which an answer has its full worth to the caller; 0 stands for the deadline.
+     * </pre>
+     *
+     * <code>uint32 objective_millis = 12;</code>
+     *
+     * @param value The objectiveMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setObjectiveMillis(int value) {
+      copyOnWrite();
+      instance.setObjectiveMillis(value);
+      return this;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Time within which an answer has its full worth to the caller; 0 stands for the deadline.
+     * </pre>
+     *
+     * <code>uint32 objective_millis = 12;</code>
+     *
+     * @return This builder for chaining.
+     */
+    public Builder clearObjectiveMillis() {
+      copyOnWrite();
+      instance.clearObjectiveMillis();
+      return this;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * When present, each request goes to one of these in place of the service above.
+     * </pre>
+     *
+     * <code>repeated .foxtaildoor.WeightedService split = 13;</code>
+     */
+    @java.lang.Override
+    public java.util.List<io.foxtaildoor.protocol.WeightedService> getSplitList() {
+      return java.util.Collections.unmodifiableList(instance.getSplitList());
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * When present, each request goes to one of these in place of the service above.
+     * </pre>
+     *
+     * <code>repeated .foxtaildoor.WeightedService split = 13;</code>
+     */
+    @java.lang.Override
+    public int getSplitCount() {
+      return instance.getSplitCount();
+    }
+    /**
+     *
+     *
+     * <pre>
+     * When present, each request goes to one of these in place of the service above.
+     * </pre>
+     *
+     * <code>repeated .foxtaildoor.WeightedService split = 13;</code>
+     */
+
+    @java.lang.Override
+    public io.foxtaildoor.protocol.WeightedService getSplit(int index) {
+      return instance.getSplit(index);
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * When present, each request goes to one of these in place of the service above.
+     * </pre>
+     *
+     * <code>repeated .foxtaildoor.WeightedService split = 13;</code>
+     */
+    public Builder setSplit(int index, io.foxtaildoor.protocol.WeightedService value) {
+      copyOnWrite();
+      instance.setSplit(index, value);
+      return this;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * When present, each request goes to one of these in place of the service above.
+     * </pre>
+     *
+     * <code>repeated .foxtaildoor.WeightedService split = 13;</code>
+     */
+    public Builder setSplit(
+        int index, io.foxtaildoor.protocol.WeightedService.Builder builderForValue) {
+      copyOnWrite();
+      instance.setSplit(index, builderForValue.build());
+      return this;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * When present, each request goes to one of these in place of the service above.
+     * </pre>
+     *
+     * <code>repeated .foxtaildoor.WeightedService split = 13;</code>
+     */
+    public Builder addSplit(io.foxtaildoor.protocol.WeightedService value) {
+      copyOnWrite();
+      instance.addSplit(value);
+      return this;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * When present, each request goes to one of these in place of the service above.
+     * </pre>
+     *
+     * <code>repeated .foxtaildoor.WeightedService split = 13;</code>
+     */
+    public Builder addSplit(int index, io.foxtaildoor.protocol.WeightedService value) {
+      copyOnWrite();
+      instance.addSplit(index, value);
+      return this;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * When present, each request goes to one of these in place of the service above.
+     * </pre>
+     *
+     * <code>repeated .foxtaildoor.WeightedService split = 13;</code>
+     */
+    public Builder addSplit(io.foxtaildoor.protocol.WeightedService.Builder builderForValue) {
+      copyOnWrite();
+      instance.addSplit(builderForValue.build());
+      return this;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * When present, each request goes to one of these in place of the service above.
+     * </pre>
+     *
+     * <code>repeated .foxtaildoor.WeightedService split = 13;</code>
+     */
+    public Builder addSplit(
+        int index, io.foxtaildoor.protocol.WeightedService.Builder builderForValue) {
+      copyOnWrite();
+      instance.addSplit(index, builderForValue.build());
+      return this;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * When present, each request goes to one of these in place of the service above.
+     * </pre>
+     *
+     * <code>repeated .foxtaildoor.WeightedService split = 13;</code>
+     */
+    public Builder addAllSplit(
+        java.lang.Iterable<? extends io.foxtaildoor.protocol.WeightedService> values) {
+      copyOnWrite();
+      instance.addAllSplit(values);
+      return this;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * When present, each request goes to one of these in place of the service above.
+     * </pre>
+     *
+     * <code>repeated .foxtaildoor.WeightedService split = 13;</code>
+     */
+    public Builder clearSplit() {
+      copyOnWrite();
+      instance.clearSplit();
+      return this;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * When present, each request goes to one of these in place of the service above.
+     * </pre>
+     *
+     * <code>repeated .foxtaildoor.WeightedService split = 13;</code>
+     */
+    public Builder removeSplit(int index) {
+      copyOnWrite();
+      instance.removeSplit(index);
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:foxtaildoor.RouteConfiguration)
   }
 
@@ -1414,10 +1964,18 @@
                 "rank_",
                 "deadlineMillis_",
                 "maxBodyBytes_",
+                "maxAttempts_",
+                "objectiveMillis_",
+                "split_",
+                io.foxtaildoor.protocol.WeightedService.class,
               };
           java.lang.String info =
-              "\u0000\n\u0000\u0000\u0001\n\n\u0000\u0001\u0000\u0001\u0208\u0002\u0208\u0003\u021a"
-                  + "\u0004\u0208\u0005\u0007\u0006\u0208\u0007\u0007\b\f\t\u000b\n\u0003";
+              "\u0000\r"
+                  + "\u0000\u0000\u0001\r\r"
+                  + "\u0000\u0002\u0000\u0001\u0208\u0002\u0208\u0003\u021a\u0004\u0208\u0005\u0007\u0006\u0208\u0007\u0007\b\f"
+                  + "\t\u000b\n"
+                  + "\u0003\u000b\u000b\f\u000b\r"
+                  + "\u001b";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
         }
       case GET_DEFAULT_INSTANCE:
--- a/protocol/src/main/java/io/foxtaildoor/protocol/RouteConfigurationOrBuilder.java
+++ b/protocol/src/main/java/io/foxtaildoor/protocol/RouteConfigurationOrBuilder.java
@@ -192,4 +192,63 @@
    * @return The maxBodyBytes.
    */
   long getMaxBodyBytes();
+
+  /**
+   *
+   *
+   * <pre>
+   * Instances to which one request may be sent; 0 stands for the node's own limit.
+   * </pre>
+   *
+   * <code>uint32 max_attempts = 11;</code>
+   *
+   * @return The maxAttempts.
+   */
+  int getMaxAttempts();
+
+  /**
+   *
+   *
+   * <pre>
+   * Time within which an answer has its full worth to the caller; 0 stands for the deadline.
+   * </pre>
+   *
+   * <code>uint32 objective_millis = 12;</code>
+   *
+   * @return The objectiveMillis.
+   */
+  int getObjectiveMillis();
+
+  /**
+   *
+   *
+   * <pre>
+   * When present, each request goes to one of these in place of the service above.
+   * </pre>
+   *
+   * <code>repeated .foxtaildoor.WeightedService split = 13;</code>
+   */
+  java.util.List<io.foxtaildoor.protocol.WeightedService> getSplitList();
+
+  /**
+   *
+   *
+   * <pre>
+   * When present, each request goes to one of these in place of the service above.
+   * </pre>
+   *
+   * <code>repeated .foxtaildoor.WeightedService split = 13;</code>
+   */
+  io.foxtaildoor.protocol.WeightedService getSplit(int index);
+
+  /**
+   *
+   *
+   * <pre>
+   * When present, each request goes to one of these in place of the service above.
+   * </pre>
+   *
+   * <code>repeated .foxtaildoor.WeightedService split = 13;</code>
+   */
+  int getSplitCount();
 }
--- a/protocol/src/main/java/io/foxtaildoor/protocol/StreamFailure.java
+++ b/protocol/src/main/java/io/foxtaildoor/protocol/StreamFailure.java
@@ -279,6 +279,104 @@
     bitField0_ = (bitField0_ & ~0x00000001);
   }
 
+  public static final int ARRIVED_FIELD_NUMBER = 6;
+  private boolean arrived_;
+
+  /**
+   *
+   *
+   * <pre>
+   * True when the request reached the upstream, whether or not that ran it.
+   * </pre>
+   *
+   * <code>bool arrived = 6;</code>
+   *
+   * @return The arrived.
+   */
+  @java.lang.Override
+  public boolean getArrived() {
+    return arrived_;
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * True when the request reached the upstream, whether or not that ran it.
+   * </pre>
+   *
+   * <code>bool arrived = 6;</code>
+   *
+   * @param value The arrived to set.
+   */
+  private void setArrived(boolean value) {
+
+    arrived_ = value;
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * True when the request reached the upstream, whether or not that ran it.
+   * </pre>
+   *
+   * <code>bool arrived = 6;</code>
+   */
+  private void clearArrived() {
+
+    arrived_ = false;
+  }
+
+  public static final int RETRY_AFTER_MILLIS_FIELD_NUMBER = 7;
+  private int retryAfterMillis_;
+
+  /**
+   *
+   *
+   * <pre>
+   * Wait after which the other node expects room again; 0 when it does not know.
+   * </pre>
+   *
+   * <code>uint32 retry_after_millis = 7;</code>
+   *
+   * @return The retryAfterMillis.
+   */
+  @java.lang.Override
+  public int getRetryAfterMillis() {
+    return retryAfterMillis_;
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * Wait after which the other node expects room again; 0 when it does not know.
+   * </pre>
+   *
+   * <code>uint32 retry_after_millis = 7;</code>
+   *
+   * @param value The retryAfterMillis to set.
+   */
+  private void setRetryAfterMillis(int value) {
+
+    retryAfterMillis_ = value;
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * Wait after which the other node expects room again; 0 when it does not know.
+   * </pre>
+   *
+   * <code>uint32 retry_after_millis = 7;</code>
+   */
+  private void clearRetryAfterMillis() {
+
+    retryAfterMillis_ = 0;
+  }
+
   public static io.foxtaildoor.protocol.StreamFailure parseFrom(java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return com.google.protobuf.GeneratedMessageLite.parseFrom(DEFAULT_INSTANCE, data);
@@ -644,6 +742,108 @@
       return this;
     }
 
+    /**
+     *
+     *
+     * <pre>
+     * True when the request reached the upstream, whether or not that ran it.
+     * </pre>
+     *
+     * <code>bool arrived = 6;</code>
+     *
+     * @return The arrived.
+     */
+    @java.lang.Override
+    public boolean getArrived() {
+      return instance.getArrived();
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * True when the request reached the upstream, whether or not that ran it.
+     * </pre>
+     *
+     * <code>bool arrived = 6;</code>
+     *
+     * @param value The arrived to set.
+     * @return This builder for chaining.
+     */
+    public Builder setArrived(boolean value) {
+      copyOnWrite();
+      instance.setArrived(value);
+      return this;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * True when the request reached the upstream, whether or not that ran it.
+     * </pre>
+     *
+     * <code>bool arrived = 6;</code>
+     *
+     * @return This builder for chaining.
+     */
+    public Builder clearArrived() {
+      copyOnWrite();
+      instance.clearArrived();
+      return this;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Wait after which the other node expects room again; 0 when it does not know.
+     * </pre>
+     *
+     * <code>uint32 retry_after_millis = 7;</code>
+     *
+     * @return The retryAfterMillis.
+     */
+    @java.lang.Override
+    public int getRetryAfterMillis() {
+      return instance.getRetryAfterMillis();
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Wait after which the other node expects room again; 0 when it does not know.
+     * </pre>
+     *
+     * <code>uint32 retry_after_millis = 7;</code>
+     *
+     * @param value The retryAfterMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRetryAfterMillis(int value) {
+      copyOnWrite();
+      instance.setRetryAfterMillis(value);
+      return this;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Wait after which the other node expects room again; 0 when it does not know.
+     * </pre>
+     *
+     * <code>uint32 retry_after_millis = 7;</code>
+     *
+     * @return This builder for chaining.
+     */
+    public Builder clearRetryAfterMillis() {
+      copyOnWrite();
+      instance.clearRetryAfterMillis();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:foxtaildoor.StreamFailure)
   }
 
@@ -666,11 +866,18 @@
         {
           java.lang.Object[] objects =
               new java.lang.Object[] {
-                "bitField0_", "stream_", "kind_", "notRun_", "detail_", "load_",
+                "bitField0_",
+                "stream_",
+                "kind_",
+                "notRun_",
+                "detail_",
+                "load_",
+                "arrived_",
+                "retryAfterMillis_",
               };
           java.lang.String info =
-              "\u0000\u0005\u0000\u0001\u0001\u0005\u0005\u0000\u0000\u0000\u0001\u0003\u0002\u0208"
-                  + "\u0003\u0007\u0004\u0208\u0005\u1009\u0000";
+              "\u0000\u0007\u0000\u0001\u0001\u0007\u0007\u0000\u0000\u0000\u0001\u0003\u0002\u0208"
+                  + "\u0003\u0007\u0004\u0208\u0005\u1009\u0000\u0006\u0007\u0007\u000b";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
         }
       case GET_DEFAULT_INSTANCE:
--- a/protocol/src/main/java/io/foxtaildoor/protocol/StreamFailureOrBuilder.java
+++ b/protocol/src/main/java/io/foxtaildoor/protocol/StreamFailureOrBuilder.java
@@ -84,4 +84,30 @@
    * @return The load.
    */
   io.foxtaildoor.protocol.LoadReport getLoad();
+
+  /**
+   *
+   *
+   * <pre>
+   * True when the request reached the upstream, whether or not that ran it.
+   * </pre>
+   *
+   * <code>bool arrived = 6;</code>
+   *
+   * @return The arrived.
+   */
+  boolean getArrived();
+
+  /**
+   *
+   *
+   * <pre>
+   * Wait after which the other node expects room again; 0 when it does not know.
+   * </pre>
+   *
+   * <code>uint32 retry_after_millis = 7;</code>
+   *
+   * @return The retryAfterMillis.
+   */
+  int getRetryAfterMillis();
 }
--- a/protocol/src/main/java/io/foxtaildoor/protocol/TeamConfiguration.java
+++ b/protocol/src/main/java/io/foxtaildoor/protocol/TeamConfiguration.java
@@ -518,8 +518,8 @@
     public int getServicesCount() {
       return instance.getServicesCount();
     }
-
     /** <code>repeated .foxtaildoor.ServiceConfiguration services = 3;</code> */
+
     @java.lang.Override
     public io.foxtaildoor.protocol.ServiceConfiguration getServices(int index) {
       return instance.getServices(index);
@@ -603,8 +603,8 @@
     public int getRoutesCount() {
       return instance.getRoutesCount();
     }
-
     /** <code>repeated .foxtaildoor.RouteConfiguration routes = 4;</code> */
+
     @java.lang.Override
     public io.foxtaildoor.protocol.RouteConfiguration getRoutes(int index) {
       return instance.getRoutes(index);
