--- /dev/null
+++ b/standins/src/main/java/io/foxtaildoor/standins/managed/ManagedStore.java
@@ -0,0 +1,253 @@
+package io.foxtaildoor.standins.managed;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.foxtaildoor.standins.StandInProcess;
+import io.netty.channel.Channel;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Supplier;
+import org.kohsuke.args4j.Option;
+
+/**
+ * Stand-in for the managed platform's metadata store: reads, watches and changes under a condition,
+ * with all state in memory. It has no leases, which the product does not use.
+ */
+public final class ManagedStore extends HttpStandIn {
+  private static final ObjectMapper JSON = new ObjectMapper();
+
+  /** How the store answers. */
+  public enum Mode {
+    /** As it should. */
+    SOUND,
+    /** Not at all. */
+    SILENT,
+    /** With status 503 and without effect. */
+    BUSY,
+    /** By closing the connection without effect. */
+    RESET
+  }
+
+  private final StoreItems items = new StoreItems();
+  private final List<Watch> watches = new ArrayList<>();
+  private final AtomicInteger calls = new AtomicInteger();
+  private volatile Mode mode = Mode.SOUND;
+  private final AtomicInteger lostAnswers = new AtomicInteger();
+
+  private record Watch(Channel channel, String prefix, long after) {}
+
+  /** Starts a store. */
+  public static ManagedStore start(InetSocketAddress address) {
+    ManagedStore store = new ManagedStore();
+    store.bind(address);
+    return store;
+  }
+
+  /** Changes how later calls are answered. */
+  public void setMode(Mode wanted) {
+    mode = wanted;
+  }
+
+  /** Makes the next changes take effect without an answer. */
+  public void loseAnswers(int count) {
+    lostAnswers.set(count);
+  }
+
+  /** Number of calls so far. */
+  public int calls() {
+    return calls.get();
+  }
+
+  /** Writes a key without a condition, as an operator does. */
+  public void put(String key, byte[] value) {
+    ObjectNode set =
+        JsonNodeFactory.instance
+            .objectNode()
+            .put("key", key)
+            .put("value", Base64.getEncoder().encodeToString(value));
+    onLoop(
+        () -> {
+          change(JsonNodeFactory.instance.arrayNode().add(set), noItems());
+          return null;
+        });
+  }
+
+  /** Reads a key. */
+  public Optional<byte[]> get(String key) {
+    return Optional.ofNullable(onLoop(() -> items.get(key)))
+        .map(item -> Base64.getDecoder().decode(item.path("value").asText()));
+  }
+
+  /** Drops the history; watches after an earlier revision are answered with 410. */
+  public void compact() {
+    onLoop(
+        () -> {
+          items.compact();
+          return null;
+        });
+  }
+
+  /** Closes the connections of all pending watches. */
+  public void cutWatches() {
+    onLoop(
+        () -> {
+          watches.forEach(watch -> watch.channel().close());
+          watches.clear();
+          return null;
+        });
+  }
+
+  private <T> T onLoop(Supplier<T> action) {
+    return CompletableFuture.supplyAsync(action, loop()).join();
+  }
+
+  private static ArrayNode noItems() {
+    return JsonNodeFactory.instance.arrayNode();
+  }
+
+  @Override
+  void serve(Channel channel, FullHttpRequest request) {
+    calls.incrementAndGet();
+    switch (mode) {
+      case SOUND -> call(channel, request);
+      case SILENT -> {}
+      case BUSY -> answer(channel, response(503, new byte[0]));
+      case RESET -> channel.close();
+    }
+  }
+
+  private void call(Channel channel, FullHttpRequest request) {
+    QueryStringDecoder uri = new QueryStringDecoder(request.uri());
+    boolean reads = request.method().equals(HttpMethod.GET);
+    switch (uri.path()) {
+      case "/kv-key" -> key(channel, parameter(uri, "key"));
+      case "/kv-range" -> {
+        ObjectNode answer = JsonNodeFactory.instance.objectNode();
+        answer.set("items", items.range(parameter(uri, "prefix")));
+        answer.put("has_more", false).put("at_rev", items.revision());
+        answer(channel, 200, answer);
+      }
+      case "/kv-watch" -> watch(channel, uri);
+      default -> {
+        if (uri.path().equals("/kv-txn") && !reads) {
+          change(channel, request);
+        } else {
+          answer(channel, 404, JsonNodeFactory.instance.objectNode());
+        }
+      }
+    }
+  }
+
+  private static String parameter(QueryStringDecoder uri, String name) {
+    return uri.parameters().getOrDefault(name, List.of("")).get(0);
+  }
+
+  private void key(Channel channel, String key) {
+    ObjectNode item = items.get(key);
+    ObjectNode answer = item == null ? JsonNodeFactory.instance.objectNode() : item;
+    answer(channel, item == null ? 404 : 200, answer.put("at_rev", items.revision()));
+  }
+
+  private void watch(Channel channel, QueryStringDecoder uri) {
+    long after = Long.parseLong(parameter(uri, "after"));
+    Watch watch = new Watch(channel, parameter(uri, "prefix"), after);
+    if (items.isCompacted(after)) {
+      answer(channel, 410, JsonNodeFactory.instance.objectNode());
+      return;
+    }
+    watches.add(watch);
+    wake();
+    long waitMillis = Long.parseLong(parameter(uri, "wait_ms"));
+    var unused =
+        channel.eventLoop().schedule(() -> finish(watch), waitMillis, TimeUnit.MILLISECONDS);
+  }
+
+  private void wake() {
+    for (Watch watch : List.copyOf(watches)) {
+      if (!items.eventsAfter(watch.prefix(), watch.after()).isEmpty()) {
+        finish(watch);
+      }
+    }
+  }
+
+  private void finish(Watch watch) {
+    if (watches.remove(watch)) {
+      ObjectNode answer = JsonNodeFactory.instance.objectNode();
+      answer.set("events", items.eventsAfter(watch.prefix(), watch.after()));
+      answer(watch.channel(), 200, answer.put("at_rev", items.revision()));
+    }
+  }
+
+  private void change(Channel channel, FullHttpRequest request) {
+    JsonNode document;
+    try {
+      document = JSON.readTree(request.content().toString(StandardCharsets.UTF_8));
+    } catch (IOException e) {
+      answer(channel, 400, JsonNodeFactory.instance.objectNode());
+      return;
+    }
+    ArrayNode violated = items.violated(document.path("expect"));
+    if (!violated.isEmpty()) {
+      ObjectNode answer = JsonNodeFactory.instance.objectNode();
+      answer.set("items", violated);
+      answer(channel, 412, answer);
+      return;
+    }
+    change(document.path("set_keys"), document.path("remove"));
+    if (lostAnswers.getAndUpdate(left -> Math.max(0, left - 1)) > 0) {
+      channel.close();
+      return;
+    }
+    answer(channel, 200, JsonNodeFactory.instance.objectNode().put("revision", items.revision()));
+  }
+
+  private void change(JsonNode sets, JsonNode removals) {
+    items.apply(sets, removals);
+    wake();
+  }
+
+  private static void answer(Channel channel, int status, ObjectNode document) {
+    answer(channel, response(status, document.toString().getBytes(StandardCharsets.UTF_8)));
+  }
+
+  /** Command line. */
+  private static final class Options {
+    @Option(name = "--port", usage = "port to listen on; 0 chooses a free one")
+    private int port;
+
+    @Option(name = "--port-file", usage = "file that receives the port")
+    private Path portFile;
+
+    @Option(name = "--configuration", usage = "file with the operator's configuration")
+    private Path configuration;
+  }
+
+  /** Runs a store until SIGTERM. */
+  public static void main(String[] args) throws IOException {
+    Options options = StandInProcess.parse(new Options(), args);
+    ManagedStore store =
+        start(new InetSocketAddress(InetAddress.getLoopbackAddress(), options.port));
+    if (options.configuration != null) {
+      store.put("op/config", Files.readAllBytes(options.configuration));
+    }
+    StandInProcess.stopOnSignal(store::close);
+    StandInProcess.writePortFile(options.portFile, Integer.toString(store.address().getPort()));
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/io/foxtaildoor/standins/managed/StoreItems.java
@@ -0,0 +1,110 @@
+package io.foxtaildoor.standins.managed;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SortedMap;
+import java.util.TreeMap;
+
+/** Items and history of the store; confined to one event loop. */
+final class StoreItems {
+  private final SortedMap<String, Item> items = new TreeMap<>();
+  private final List<ObjectNode> events = new ArrayList<>();
+  private long revision = 1;
+  private long compactedRevision;
+
+  private record Item(String key, String value, long revision, long created) {
+    ObjectNode json() {
+      return JsonNodeFactory.instance
+          .objectNode()
+          .put("key", key)
+          .put("value", value)
+          .put("revision", revision)
+          .put("created_rev", created)
+          .put("lease_id", 0);
+    }
+  }
+
+  long revision() {
+    return revision;
+  }
+
+  /** The item of a key; null when it is absent. */
+  ObjectNode get(String key) {
+    Item item = items.get(key);
+    return item == null ? null : item.json();
+  }
+
+  ArrayNode range(String prefix) {
+    ArrayNode found = JsonNodeFactory.instance.arrayNode();
+    items.values().stream()
+        .filter(item -> item.key().startsWith(prefix))
+        .forEach(item -> found.add(item.json()));
+    return found;
+  }
+
+  /** Whether the history after a revision was dropped. */
+  boolean isCompacted(long after) {
+    return after < compactedRevision;
+  }
+
+  /** Drops the history. */
+  void compact() {
+    compactedRevision = revision;
+    events.clear();
+  }
+
+  ArrayNode eventsAfter(String prefix, long after) {
+    ArrayNode found = JsonNodeFactory.instance.arrayNode();
+    for (ObjectNode event : events) {
+      if (event.path("revision").asLong() > after
+          && event.path("key").asText().startsWith(prefix)) {
+        found.add(event);
+      }
+    }
+    return found;
+  }
+
+  /** The items whose revision is not the expected one; empty when the condition holds. */
+  ArrayNode violated(JsonNode conditions) {
+    ArrayNode present = JsonNodeFactory.instance.arrayNode();
+    boolean holds = true;
+    for (JsonNode condition : conditions) {
+      String key = condition.path("key").asText();
+      ObjectNode item = get(key);
+      long held = item == null ? 0 : item.path("revision").asLong();
+      holds &= held == condition.path("revision").asLong();
+      present.add(
+          item == null
+              ? JsonNodeFactory.instance.objectNode().put("key", key).put("revision", 0)
+              : item);
+    }
+    return holds ? JsonNodeFactory.instance.arrayNode() : present;
+  }
+
+  /** Applies the changes of one call at one revision. */
+  void apply(JsonNode sets, JsonNode removals) {
+    revision++;
+    for (JsonNode set : sets) {
+      String key = set.path("key").asText();
+      Item former = items.get(key);
+      long created = former == null ? revision : former.created();
+      Item item = new Item(key, set.path("value").asText(), revision, created);
+      items.put(key, item);
+      events.add(item.json());
+    }
+    for (JsonNode removal : removals) {
+      if (items.remove(removal.asText()) != null) {
+        events.add(
+            JsonNodeFactory.instance
+                .objectNode()
+                .put("key", removal.asText())
+                .put("revision", revision)
+                .put("deleted", true));
+      }
+    }
+  }
+}
