--- a/product/src/main/java/io/foxtaildoor/connection/caller/CallerConnection.java
+++ b/product/src/main/java/io/foxtaildoor/connection/caller/CallerConnection.java
@@ -146,7 +146,8 @@
             ErrorKind.INVALID_INPUT, "the request head is malformed or too large");
       }
       RequestHead head =
-          new RequestHeadReader(dependencies.protocol(), dependencies.random().get())
+          new RequestHeadReader(
+                  dependencies.protocol(), dependencies.patience(), dependencies.random().get())
               .read(request, dependencies.configuration().get(), newId(), now);
       RequestBody body =
           new RequestBody(
--- a/product/src/main/java/io/foxtaildoor/connection/caller/CallerDependencies.java
+++ b/product/src/main/java/io/foxtaildoor/connection/caller/CallerDependencies.java
@@ -21,6 +21,7 @@
  */
 public record CallerDependencies(
     CallerProtocol protocol,
+    CallerPatience patience,
     Supplier<HeldConfiguration> configuration,
     FleetView fleet,
     LinkClient links,
--- a/product/src/main/java/io/foxtaildoor/connection/caller/Exchange.java
+++ b/product/src/main/java/io/foxtaildoor/connection/caller/Exchange.java
@@ -95,14 +95,19 @@
             () -> "request " + head.requestId() + " is sent again after an unknown outcome");
     attempts++;
     Attempt attempt = new Attempt(this, loop, selection, attempts, now);
-    RequestStart start =
+    RequestStart.Builder start =
         RequestStart.newBuilder(head.message())
             .setAttempt(attempts)
             .setRemainingMicros(
                 Math.max(1, TimeUnit.NANOSECONDS.toMicros(head.deadlineNanos() - now)))
-            .setEnd(!body.isPresent())
-            .build();
-    attempt.opened(dependencies.links().open(selection.node(), start, attempt));
+            .setEnd(!body.isPresent());
+    head.objectiveNanos()
+        .ifPresent(
+            objective ->
+                start
+                    .setHasObjective(true)
+                    .setObjectiveMicros(TimeUnit.NANOSECONDS.toMicros(objective - now)));
+    attempt.opened(dependencies.links().open(selection.node(), start.build(), attempt));
     current = attempt;
     if (attempts == 1) {
       addedNanos = now() - receivedNanos;
--- a/product/src/main/java/io/foxtaildoor/connection/caller/RequestHead.java
+++ b/product/src/main/java/io/foxtaildoor/connection/caller/RequestHead.java
@@ -3,6 +3,7 @@
 import io.foxtaildoor.common.ServiceId;
 import io.foxtaildoor.protocol.RequestStart;
 import io.foxtaildoor.version.routing.Route;
+import java.util.OptionalLong;
 
 /**
  * A checked request head with its route.
@@ -10,6 +11,7 @@
  * @param message what is sent to the other node, without remaining time and attempt
  * @param service the service that this request goes to
  * @param deadlineNanos monotonic time of the deadline
+ * @param objectiveNanos monotonic time until which an answer has its full worth, if it is stated
  * @param hasBody whether a body, possibly an empty chunked one, follows
  * @param hasSmallBody whether a body of known, small length follows without waiting for a 100
  * @param expectsContinue whether the caller waits for a 100 before it sends the body
@@ -19,6 +21,7 @@
     Route route,
     ServiceId service,
     long deadlineNanos,
+    OptionalLong objectiveNanos,
     boolean hasBody,
     boolean hasSmallBody,
     boolean expectsContinue) {
--- a/product/src/main/java/io/foxtaildoor/connection/caller/RequestHeadReader.java
+++ b/product/src/main/java/io/foxtaildoor/connection/caller/RequestHeadReader.java
@@ -21,6 +21,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
@@ -36,6 +37,7 @@
   private static final Pattern KEY = Pattern.compile("[\\x21-\\x7e]{1,255}");
 
   private final CallerProtocol protocol;
+  private final CallerPatience patience;
   private final RandomGenerator random;
 
   /**
@@ -43,8 +45,9 @@
    *
    * @param random chooses among the services of a split
    */
-  RequestHeadReader(CallerProtocol protocol, RandomGenerator random) {
+  RequestHeadReader(CallerProtocol protocol, CallerPatience patience, RandomGenerator random) {
     this.protocol = protocol;
+    this.patience = patience;
     this.random = random;
   }
 
@@ -97,6 +100,7 @@
         route,
         service,
         nowNanos + allowedNanos(headers, route),
+        objectiveNanos(headers, route, nowNanos),
         hasBody,
         hasSmallBody(request),
         HttpUtil.is100ContinueExpected(request));
@@ -183,6 +187,16 @@
     };
   }
 
+  private OptionalLong objectiveNanos(HttpHeaders headers, Route route, long nowNanos) {
+    if (route.objective().isZero()) {
+      return OptionalLong.empty();
+    }
+    int left = number(headers, protocol.headers().deadlineMillis(), 0);
+    long elapsed = left == 0 ? 0 : patience.elapsedMillis(route.name(), left);
+    return OptionalLong.of(
+        nowNanos + route.objective().toNanos() - TimeUnit.MILLISECONDS.toNanos(elapsed));
+  }
+
   private void addHeaders(RequestStart.Builder message, HttpHeaders headers, Set<String> removed) {
     for (Map.Entry<String, String> header : headers) {
       String name = header.getKey().toLowerCase(Locale.ROOT);
--- a/product/src/main/java/io/foxtaildoor/connection/upstream/Exchange.java
+++ b/product/src/main/java/io/foxtaildoor/connection/upstream/Exchange.java
@@ -83,6 +83,13 @@
     return deadlineNanos;
   }
 
+  /** Time until which an answer has its full worth; the deadline when the request states none. */
+  long objectiveNanos() {
+    return head.getHasObjective()
+        ? acceptedNanos + TimeUnit.MICROSECONDS.toNanos(head.getObjectiveMicros())
+        : deadlineNanos;
+  }
+
   boolean isEnded() {
     return ended;
   }
--- a/product/src/main/java/io/foxtaildoor/connection/upstream/UpstreamServer.java
+++ b/product/src/main/java/io/foxtaildoor/connection/upstream/UpstreamServer.java
@@ -271,7 +271,8 @@
 
   private void enqueue(Exchange exchange) {
     Admission<Exchange> decision =
-        admission.offer(exchange, exchange.rank(), exchange.deadlineNanos(), now());
+        admission.offer(
+            exchange, exchange.rank(), exchange.deadlineNanos(), exchange.objectiveNanos(), now());
     if (decision.ticket().isEmpty()) {
       exchange.fail(decision.refusal().orElseThrow(), decision.detail());
       return;
--- a/product/src/main/java/io/foxtaildoor/process/node/RequestPath.java
+++ b/product/src/main/java/io/foxtaildoor/process/node/RequestPath.java
@@ -10,6 +10,7 @@
 import io.foxtaildoor.connection.caller.CallerDependencies;
 import io.foxtaildoor.connection.caller.CallerListener;
 import io.foxtaildoor.connection.caller.CallerMetrics;
+import io.foxtaildoor.connection.caller.CallerPatience;
 import io.foxtaildoor.connection.caller.CallerSettings;
 import io.foxtaildoor.connection.link.LinkMetrics;
 import io.foxtaildoor.connection.link.LinkSettings;
@@ -21,8 +22,10 @@
 import io.foxtaildoor.request.retry.RetryBudgets;
 import io.foxtaildoor.request.retry.RetryPolicy;
 import io.foxtaildoor.request.retry.RetrySettings;
+import io.foxtaildoor.version.routing.Route;
 import java.net.InetSocketAddress;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.stream.Collectors;
 
 /** The way of a request through one node: from callers to links and from links to the upstream. */
 final class RequestPath {
@@ -49,11 +52,13 @@
     UpstreamSelector selector =
         new UpstreamSelector(profile.balance(), settings.get(REGION), settings.get(DATA_CENTRE));
     RetrySettings retries = profile.retries();
+    CallerPatience patience = new CallerPatience();
     callers =
         new CallerListener(
             callerSettings(settings),
             new CallerDependencies(
                 profile.callers(),
+                patience,
                 control.holder()::current,
                 control.membership(),
                 links,
@@ -75,6 +80,14 @@
             context.registry(),
             context.clock());
     control.holder().addListener(callers::configurationApplied);
+    control
+        .holder()
+        .addListener(
+            configuration ->
+                patience.retainRoutes(
+                    configuration.routes().routes().stream()
+                        .map(Route::name)
+                        .collect(Collectors.toSet())));
   }
 
   private static CallerSettings callerSettings(Settings settings) {
--- a/product/src/main/java/io/foxtaildoor/request/admission/AdmissionMode.java
+++ b/product/src/main/java/io/foxtaildoor/request/admission/AdmissionMode.java
@@ -16,6 +16,6 @@
 
   /** Order within one queue. */
   Comparator<Ticket<?>> order() {
-    return this == FIFO ? Ticket::compareArrival : Ticket::compareDeadline;
+    return this == FIFO ? Ticket::compareArrival : Ticket::compareObjective;
   }
 }
--- a/product/src/main/java/io/foxtaildoor/request/admission/AdmissionQueue.java
+++ b/product/src/main/java/io/foxtaildoor/request/admission/AdmissionQueue.java
@@ -23,6 +23,7 @@
   private final ServiceTimes times = new ServiceTimes();
   private final SlotShares shares;
   private final Map<Rank, TreeSet<Ticket<T>>> queues = new EnumMap<>(Rank.class);
+  private final LateQueue<T> late;
   private UpstreamLimits limits;
   private long sequence;
   private int inFlight;
@@ -35,6 +36,7 @@
     this.limits = limits;
     this.controller = new LimitController(settings, limits);
     this.shares = new SlotShares(settings.shareWindow().toNanos(), nowNanos);
+    this.late = new LateQueue<>(settings.lateWait().toNanos());
     for (Rank rank : Rank.values()) {
       queues.put(rank, new TreeSet<>(settings.mode().order()));
     }
@@ -47,9 +49,19 @@
     controller.configure(newLimits);
   }
 
-  /** Queues a request, or refuses it when it cannot finish before its deadline. */
+  /** Queues a request without an objective, or refuses it as the other method does. */
+  public Admission<T> offer(T request, Rank requestRank, long deadlineNanos, long nowNanos) {
+    return offer(request, requestRank, deadlineNanos, deadlineNanos, nowNanos);
+  }
+
+  /**
+   * Queues a request, or refuses it when it cannot finish before its deadline. One that can finish
+   * by its deadline but not by its objective is queued behind all others and only for a short wait.
+   *
+   * @param objectiveNanos time until which an answer has its full worth
+   */
   public synchronized Admission<T> offer(
-      T request, Rank requestRank, long deadlineNanos, long nowNanos) {
+      T request, Rank requestRank, long deadlineNanos, long objectiveNanos, long nowNanos) {
     Rank rank = settings.mode().queues().queueOf(requestRank);
     shares.advance(nowNanos, controller.current(nowNanos));
     long remaining = deadlineNanos - nowNanos;
@@ -59,7 +71,8 @@
     if (remaining <= 0) {
       return Admission.refused(ErrorKind.EXPIRED, "deadline passed before admission");
     }
-    Ticket<T> ticket = new Ticket<>(request, rank, deadlineNanos, nowNanos, sequence++);
+    Ticket<T> ticket =
+        new Ticket<>(request, rank, deadlineNanos, objectiveNanos, nowNanos, sequence++);
     TreeSet<Ticket<T>> queue = queues.get(rank);
     if (queue.size() >= settings.maxQueuedPerRank()) {
       return Admission.refused(ErrorKind.OVERLOADED, "queue of rank " + rank + " is full");
@@ -71,11 +84,28 @@
     if (!idle && needed > remaining) {
       return Admission.refused(ErrorKind.OVERLOADED, "wait would pass the deadline");
     }
+    if (!idle && needed > objectiveNanos - nowNanos) {
+      return offerLate(ticket, nowNanos);
+    }
     queue.add(ticket);
     queued++;
     return Admission.queued(ticket);
   }
 
+  private Admission<T> offerLate(Ticket<T> ticket, long nowNanos) {
+    int limit = controller.current(nowNanos);
+    int before = queued - late.size() + late.before(ticket);
+    boolean free = inFlight + before < limit;
+    double wait = free ? 0 : (before + 1) * times.overall() / limit;
+    double needed = wait + times.mean(ticket.rank());
+    if (wait > settings.lateWait().toNanos() || needed > ticket.deadlineNanos() - nowNanos) {
+      return Admission.refused(ErrorKind.OVERLOADED, "wait would pass the objective");
+    }
+    late.add(ticket, nowNanos);
+    queued++;
+    return Admission.queued(ticket);
+  }
+
   /** Time until a slot is free for a ticket, from the work before it and the rate of its rank. */
   private double estimatedWait(Ticket<T> ticket, long nowNanos) {
     int limit = controller.current(nowNanos);
@@ -118,14 +148,15 @@
       return Optional.empty();
     }
     Rank rank = nextRank(limit);
-    Ticket<T> ticket = queues.get(rank).pollFirst();
+    Ticket<T> ticket = rank == null ? late.poll() : queues.get(rank).pollFirst();
     queued--;
     inFlight++;
-    shares.started(rank);
+    shares.started(ticket.rank());
     ticket.start(nowNanos);
     return Optional.of(ticket);
   }
 
+  /** The rank whose queue is served next; null when only late requests wait. */
   private Rank nextRank(int limit) {
     Rank highest = null;
     for (Map.Entry<Rank, TreeSet<Ticket<T>>> entry : queues.entrySet()) {
@@ -154,25 +185,47 @@
 
   /** Removes the requests that cannot finish before their deadlines. */
   private void expire(long nowNanos, Consumer<Ticket<T>> expired) {
+    for (Ticket<T> missed : late.takeExpired(nowNanos, times)) {
+      queued--;
+      missed.end();
+      expired.accept(missed);
+    }
     for (Map.Entry<Rank, TreeSet<Ticket<T>>> entry : queues.entrySet()) {
       TreeSet<Ticket<T>> queue = entry.getValue();
       // While nothing runs, only those past their deadlines: the estimate may be out of date.
       long needed = inFlight == 0 ? 0 : (long) times.bound(entry.getKey());
+      demote(entry.getKey(), nowNanos);
       while (!queue.isEmpty() && queue.first().deadlineNanos() - nowNanos <= needed) {
-        Ticket<T> late = queue.pollFirst();
+        Ticket<T> missed = queue.pollFirst();
         queued--;
-        late.end();
-        expired.accept(late);
+        missed.end();
+        expired.accept(missed);
       }
     }
   }
 
+  /** Moves the requests that cannot meet their objective any more behind all others. */
+  private void demote(Rank rank, long nowNanos) {
+    TreeSet<Ticket<T>> queue = queues.get(rank);
+    double needed = times.mean(rank);
+    while (!queue.isEmpty() && missesObjective(queue.first(), needed, nowNanos)) {
+      late.add(queue.pollFirst(), nowNanos);
+    }
+  }
+
+  private static boolean missesObjective(Ticket<?> ticket, double needed, long nowNanos) {
+    return ticket.objectiveNanos() != ticket.deadlineNanos()
+        && ticket.objectiveNanos() - nowNanos < needed;
+  }
+
   /** Takes a waiting request out of its queue; false when it runs or has ended. */
   public synchronized boolean cancel(Ticket<T> ticket) {
     if (ticket.state() != Ticket.State.QUEUED) {
       return false;
     }
-    queues.get(ticket.rank()).remove(ticket);
+    if (!late.remove(ticket)) {
+      queues.get(ticket.rank()).remove(ticket);
+    }
     queued--;
     ticket.end();
     return true;
@@ -188,6 +241,12 @@
         removed.accept(ticket);
       }
     }
+    while (late.size() > 0) {
+      Ticket<T> ticket = late.poll();
+      queued--;
+      ticket.end();
+      removed.accept(ticket);
+    }
   }
 
   /**
@@ -239,7 +298,7 @@
 
   /** Waiting requests of a rank. */
   public synchronized int queued(Rank rank) {
-    return queues.get(rank).size();
+    return queues.get(rank).size() + late.size(rank);
   }
 
   /** Running requests of a rank. */
--- a/product/src/main/java/io/foxtaildoor/request/admission/AdmissionSettings.java
+++ b/product/src/main/java/io/foxtaildoor/request/admission/AdmissionSettings.java
@@ -11,6 +11,8 @@
  * @param shedFactor factor on the limit when the upstream sheds load
  * @param slowFactor factor on the limit when the latency grows
  * @param slowRatio latency relative to its long-term mean that counts as growth
+ * @param lateWait longest wait that a request is queued for once it cannot meet its objective any
+ *     more; such a request runs only while no other one waits
  * @param mode order in which waiting requests start
  */
 public record AdmissionSettings(
@@ -19,16 +21,21 @@
     double shedFactor,
     double slowFactor,
     double slowRatio,
+    Duration lateWait,
     AdmissionMode mode) {
 
+  /** Callers that are refused sooner can still be served elsewhere. */
+  private static final Duration LATE_WAIT = Duration.ofMillis(100);
+
   /** Settings for the deployments described in the design page. */
   public static AdmissionSettings defaults() {
-    return new AdmissionSettings(256, Duration.ofSeconds(1), 0.7, 0.9, 2.0, AdmissionMode.RANKS);
+    return new AdmissionSettings(
+        256, Duration.ofSeconds(1), 0.7, 0.9, 2.0, LATE_WAIT, AdmissionMode.RANKS);
   }
 
   /** The same settings with another order. */
   public AdmissionSettings withMode(AdmissionMode other) {
     return new AdmissionSettings(
-        maxQueuedPerRank, shareWindow, shedFactor, slowFactor, slowRatio, other);
+        maxQueuedPerRank, shareWindow, shedFactor, slowFactor, slowRatio, lateWait, other);
   }
 }
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/request/admission/LateQueue.java
@@ -0,0 +1,70 @@
+package io.foxtaildoor.request.admission;
+
+import io.foxtaildoor.common.Rank;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeSet;
+
+/**
+ * Waiting requests that cannot meet their objective any more, by rank and then by arrival; guarded
+ * by the lock of the queue.
+ */
+final class LateQueue<T> {
+  private final long longestWaitNanos;
+  private final TreeSet<Ticket<T>> tickets =
+      new TreeSet<>(
+          Comparator.<Ticket<T>, Rank>comparing(Ticket::rank)
+              .thenComparing(Ticket::compareArrival));
+  private final Map<Ticket<T>, Long> addedNanos = new HashMap<>();
+
+  LateQueue(long longestWaitNanos) {
+    this.longestWaitNanos = longestWaitNanos;
+  }
+
+  void add(Ticket<T> ticket, long nowNanos) {
+    tickets.add(ticket);
+    addedNanos.put(ticket, nowNanos);
+  }
+
+  /** Removes a ticket; false when it does not wait here. */
+  boolean remove(Ticket<T> ticket) {
+    addedNanos.remove(ticket);
+    return tickets.remove(ticket);
+  }
+
+  /** Takes the next ticket; null when none waits. */
+  Ticket<T> poll() {
+    Ticket<T> next = tickets.pollFirst();
+    addedNanos.remove(next);
+    return next;
+  }
+
+  int size() {
+    return tickets.size();
+  }
+
+  int size(Rank rank) {
+    return (int) tickets.stream().filter(ticket -> ticket.rank() == rank).count();
+  }
+
+  /** Number of tickets that would be served before a new one. */
+  int before(Ticket<T> ticket) {
+    return tickets.headSet(ticket).size();
+  }
+
+  /** Takes out those that waited too long or cannot finish before their deadlines. */
+  List<Ticket<T>> takeExpired(long nowNanos, ServiceTimes times) {
+    List<Ticket<T>> expired = new ArrayList<>();
+    for (Ticket<T> ticket : tickets) {
+      boolean waited = nowNanos - addedNanos.get(ticket) > longestWaitNanos;
+      if (waited || ticket.deadlineNanos() - nowNanos <= times.mean(ticket.rank())) {
+        expired.add(ticket);
+      }
+    }
+    expired.forEach(this::remove);
+    return expired;
+  }
+}
--- a/product/src/main/java/io/foxtaildoor/request/admission/ServiceTimes.java
+++ b/product/src/main/java/io/foxtaildoor/request/admission/ServiceTimes.java
@@ -49,6 +49,12 @@
     return overall;
   }
 
+  /** Mean of a rank; that over all ranks while nothing is known of it. */
+  double mean(Rank rank) {
+    Estimate estimate = byRank.get(rank);
+    return estimate == null ? overall : estimate.mean;
+  }
+
   /** Time in which a request of a rank finishes almost certainly; 0 while nothing is known. */
   double bound(Rank rank) {
     Estimate estimate = byRank.get(rank);
--- a/product/src/main/java/io/foxtaildoor/request/admission/Ticket.java
+++ b/product/src/main/java/io/foxtaildoor/request/admission/Ticket.java
@@ -14,15 +14,23 @@
   private final T request;
   private final Rank rank;
   private final long deadlineNanos;
+  private final long objectiveNanos;
   private final long offeredNanos;
   private final long sequence;
   private long startedNanos;
   private State state = State.QUEUED;
 
-  Ticket(T request, Rank rank, long deadlineNanos, long offeredNanos, long sequence) {
+  Ticket(
+      T request,
+      Rank rank,
+      long deadlineNanos,
+      long objectiveNanos,
+      long offeredNanos,
+      long sequence) {
     this.request = request;
     this.rank = rank;
     this.deadlineNanos = deadlineNanos;
+    this.objectiveNanos = objectiveNanos;
     this.offeredNanos = offeredNanos;
     this.sequence = sequence;
   }
@@ -39,6 +47,11 @@
     return deadlineNanos;
   }
 
+  /** Time until which an answer has its full worth; the deadline when the request states none. */
+  long objectiveNanos() {
+    return objectiveNanos;
+  }
+
   /** Time that the request waited for its slot. */
   public long waitNanos() {
     return startedNanos - offeredNanos;
@@ -62,6 +75,12 @@
     state = State.ENDED;
   }
 
+  /** Orders by objective, then as {@link #compareDeadline}. */
+  int compareObjective(Ticket<?> other) {
+    int byObjective = Long.signum(objectiveNanos - other.objectiveNanos);
+    return byObjective != 0 ? byObjective : compareDeadline(other);
+  }
+
   /** Orders by deadline; the differences allow for a monotonic clock that wraps. */
   int compareDeadline(Ticket<?> other) {
     int byDeadline = Long.signum(deadlineNanos - other.deadlineNanos);
--- a/product/src/test/java/io/foxtaildoor/connection/caller/CallerFixture.java
+++ b/product/src/test/java/io/foxtaildoor/connection/caller/CallerFixture.java
@@ -82,6 +82,7 @@
     SplittableRandom random = new SplittableRandom(3);
     return new CallerDependencies(
         CallerProtocol.STANDARD,
+        new CallerPatience(),
         () -> configuration,
         fleet,
         links,
--- a/protocol/src/main/java/io/foxtaildoor/protocol/RequestStart.java
+++ b/protocol/src/main/java/io/foxtaildoor/protocol/RequestStart.java
@@ -667,6 +667,104 @@
     end_ = false;
   }
 
+  public static final int OBJECTIVE_MICROS_FIELD_NUMBER = 16;
+  private long objectiveMicros_;
+
+  /**
+   *
+   *
+   * <pre>
+   * Time left in which an answer has its full worth to the caller; negative once that has passed.
+   * </pre>
+   *
+   * <code>sint64 objective_micros = 16;</code>
+   *
+   * @return The objectiveMicros.
+   */
+  @java.lang.Override
+  public long getObjectiveMicros() {
+    return objectiveMicros_;
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * Time left in which an answer has its full worth to the caller; negative once that has passed.
+   * </pre>
+   *
+   * <code>sint64 objective_micros = 16;</code>
+   *
+   * @param value The objectiveMicros to set.
+   */
+  private void setObjectiveMicros(long value) {
+
+    objectiveMicros_ = value;
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * Time left in which an answer has its full worth to the caller; negative once that has passed.
+   * </pre>
+   *
+   * <code>sint64 objective_micros = 16;</code>
+   */
+  private void clearObjectiveMicros() {
+
+    objectiveMicros_ = 0L;
+  }
+
+  public static final int HAS_OBJECTIVE_FIELD_NUMBER = 17;
+  private boolean hasObjective_;
+
+  /**
+   *
+   *
+   * <pre>
+   * Whether the route states such a time.
+   * </pre>
+   *
+   * <code>bool has_objective = 17;</code>
+   *
+   * @return The hasObjective.
+   */
+  @java.lang.Override
+  public boolean getHasObjective() {
+    return hasObjective_;
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * Whether the route states such a time.
+   * </pre>
+   *
+   * <code>bool has_objective = 17;</code>
+   *
+   * @param value The hasObjective to set.
+   */
+  private void setHasObjective(boolean value) {
+
+    hasObjective_ = value;
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * Whether the route states such a time.
+   * </pre>
+   *
+   * <code>bool has_objective = 17;</code>
+   */
+  private void clearHasObjective() {
+
+    hasObjective_ = false;
+  }
+
   public static io.foxtaildoor.protocol.RequestStart parseFrom(java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return com.google.protobuf.GeneratedMessageLite.parseFrom(DEFAULT_INSTANCE, data);
@@ -1466,6 +1564,108 @@
       return this;
     }
 
+    /**
+     *
+     *
+     * <pre>
+     * Time left in which an answer has its full worth to the caller; negative once that has passed.
+     * </pre>
+     *
+     * <code>sint64 objective_micros = 16;</code>
+     *
+     * @return The objectiveMicros.
+     */
+    @java.lang.Override
+    public long getObjectiveMicros() {
+      return instance.getObjectiveMicros();
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Time left in which an answer has its full worth to the caller; negative once that has passed.
+     * </pre>
+     *
+     * <code>sint64 objective_micros = 16;</code>
+     *
+     * @param value The objectiveMicros to set.
+     * @return This builder for chaining.
+     */
+    public Builder setObjectiveMicros(long value) {
+      copyOnWrite();
+      instance.setObjectiveMicros(value);
+      return this;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Time left in which an answer has its full worth to the caller; negative once that has passed.
+     * </pre>
+     *
+     * <code>sint64 objective_micros = 16;</code>
+     *
+     * @return This builder for chaining.
+     */
+    public Builder clearObjectiveMicros() {
+      copyOnWrite();
+      instance.clearObjectiveMicros();
+      return this;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Whether the route states such a time.
+     * </pre>
+     *
+     * <code>bool has_objective = 17;</code>
+     *
+     * @return The hasObjective.
+     */
+    @java.lang.Override
+    public boolean getHasObjective() {
+      return instance.getHasObjective();
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Whether the route states such a time.
+     * </pre>
+     *
+     * <code>bool has_objective = 17;</code>
+     *
+     * @param value The hasObjective to set.
+     * @return This builder for chaining.
+     */
+    public Builder setHasObjective(boolean value) {
+      copyOnWrite();
+      instance.setHasObjective(value);
+      return this;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Whether the route states such a time.
+     * </pre>
+     *
+     * <code>bool has_objective = 17;</code>
+     *
+     * @return This builder for chaining.
+     */
+    public Builder clearHasObjective() {
+      copyOnWrite();
+      instance.clearHasObjective();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:foxtaildoor.RequestStart)
   }
 
@@ -1504,12 +1704,14 @@
                 "depth_",
                 "idempotencyKey_",
                 "end_",
+                "objectiveMicros_",
+                "hasObjective_",
               };
           java.lang.String info =
-              "\u0000\u000f\u0000\u0000\u0001\u000f\u000f\u0000\u0001\u0000\u0001\u0003\u0002\u0208\u0003\u0208\u0004\u0208\u0005\u0003\u0006\u0208\u0007\u0208\b\u001b"
+              "\u0000\u0011\u0000\u0000\u0001\u0011\u0011\u0000\u0001\u0000\u0001\u0003\u0002\u0208\u0003\u0208\u0004\u0208\u0005\u0003\u0006\u0208\u0007\u0208\b\u001b"
                   + "\t\u0007\n"
                   + "\f\u000b\u0003\f\u000b\r"
-                  + "\u000b\u000e\u0208\u000f\u0007";
+                  + "\u000b\u000e\u0208\u000f\u0007\u0010\u0010\u0011\u0007";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
         }
       case GET_DEFAULT_INSTANCE:
--- a/protocol/src/main/java/io/foxtaildoor/protocol/RequestStartOrBuilder.java
+++ b/protocol/src/main/java/io/foxtaildoor/protocol/RequestStartOrBuilder.java
@@ -166,4 +166,30 @@
    * @return The end.
    */
   boolean getEnd();
+
+  /**
+   *
+   *
+   * <pre>
+   * Time left in which an answer has its full worth to the caller; negative once that has passed.
+   * </pre>
+   *
+   * <code>sint64 objective_micros = 16;</code>
+   *
+   * @return The objectiveMicros.
+   */
+  long getObjectiveMicros();
+
+  /**
+   *
+   *
+   * <pre>
+   * Whether the route states such a time.
+   * </pre>
+   *
+   * <code>bool has_objective = 17;</code>
+   *
+   * @return The hasObjective.
+   */
+  boolean getHasObjective();
 }
