--- a/product/src/main/java/io/foxtaildoor/connection/caller/CallerPatience.java
+++ b/product/src/main/java/io/foxtaildoor/connection/caller/CallerPatience.java
@@ -12,12 +12,11 @@
   private final ConcurrentMap<String, Integer> longestMillis = new ConcurrentHashMap<>();
 
   /**
-   * Takes the time that a request has left.
-   *
-   * @return milliseconds since the caller's first try, 0 for a first try
+   * Takes the time that a request has left and gives the longest that was seen for its route, in
+   * milliseconds.
    */
-  int elapsedMillis(String route, int leftMillis) {
-    return longestMillis.merge(route, leftMillis, Math::max) - leftMillis;
+  int longestMillis(String route, int leftMillis) {
+    return longestMillis.merge(route, leftMillis, Math::max);
   }
 
   /** Forgets the routes that are no longer in the configuration. */
--- a/product/src/main/java/io/foxtaildoor/connection/caller/RequestHeadReader.java
+++ b/product/src/main/java/io/foxtaildoor/connection/caller/RequestHeadReader.java
@@ -192,9 +192,13 @@
       return OptionalLong.empty();
     }
     int left = number(headers, protocol.headers().deadlineMillis(), 0);
-    long elapsed = left == 0 ? 0 : patience.elapsedMillis(route.name(), left);
-    return OptionalLong.of(
-        nowNanos + route.objective().toNanos() - TimeUnit.MILLISECONDS.toNanos(elapsed));
+    int longest = patience.longestMillis(route.name(), left);
+    if (longest <= route.deadline().toMillis()) {
+      // Such a caller cannot come back after a refusal, so an answer past the objective counts too.
+      return OptionalLong.empty();
+    }
+    long elapsed = TimeUnit.MILLISECONDS.toNanos(longest - left);
+    return OptionalLong.of(nowNanos + route.objective().toNanos() - elapsed);
   }
 
   private void addHeaders(RequestStart.Builder message, HttpHeaders headers, Set<String> removed) {
--- a/product/src/main/java/io/foxtaildoor/connection/upstream/UpstreamSettings.java
+++ b/product/src/main/java/io/foxtaildoor/connection/upstream/UpstreamSettings.java
@@ -45,7 +45,7 @@
         dialect,
         maxRequestBytes,
         maxAnswerBytes,
-        admission,
+        admission.withReportedCapacity(),
         keys);
   }
 
--- a/product/src/main/java/io/foxtaildoor/request/admission/AdmissionQueue.java
+++ b/product/src/main/java/io/foxtaildoor/request/admission/AdmissionQueue.java
@@ -22,6 +22,7 @@
   private final LimitController controller;
   private final ServiceTimes times = new ServiceTimes();
   private final SlotShares shares;
+  private final SlotShares callShares;
   private final Map<Rank, TreeSet<Ticket<T>>> queues = new EnumMap<>(Rank.class);
   private final LateQueue<T> late;
   private UpstreamLimits limits;
@@ -36,6 +37,7 @@
     this.limits = limits;
     this.controller = new LimitController(settings, limits);
     this.shares = new SlotShares(settings.shareWindow().toNanos(), nowNanos);
+    this.callShares = new SlotShares(settings.shareWindow().toNanos(), nowNanos);
     this.late = new LateQueue<>(settings.lateWait().toNanos());
     for (Rank rank : Rank.values()) {
       queues.put(rank, new TreeSet<>(settings.mode().order()));
@@ -44,11 +46,17 @@
 
   /** Takes a changed configuration. */
   public synchronized void configure(UpstreamLimits newLimits, long nowNanos) {
-    shares.advance(nowNanos, controller.current(nowNanos));
+    advance(nowNanos);
     limits = newLimits;
     controller.configure(newLimits);
   }
 
+  private void advance(long nowNanos) {
+    int limit = controller.current(nowNanos);
+    shares.advance(nowNanos, limit);
+    callShares.advance(nowNanos, limit);
+  }
+
   /** Queues a request without an objective, or refuses it as the other method does. */
   public Admission<T> offer(T request, Rank requestRank, long deadlineNanos, long nowNanos) {
     return offer(request, requestRank, deadlineNanos, deadlineNanos, nowNanos);
@@ -63,7 +71,7 @@
   public synchronized Admission<T> offer(
       T request, Rank requestRank, long deadlineNanos, long objectiveNanos, long nowNanos) {
     Rank rank = settings.mode().queues().queueOf(requestRank);
-    shares.advance(nowNanos, controller.current(nowNanos));
+    advance(nowNanos);
     long remaining = deadlineNanos - nowNanos;
     if (draining) {
       return Admission.refused(ErrorKind.LEAVING, "upstream is leaving");
@@ -141,21 +149,51 @@
    * @param expired hears of each request that left its queue because it cannot finish in time
    */
   public synchronized Optional<Ticket<T>> poll(long nowNanos, Consumer<Ticket<T>> expired) {
-    shares.advance(nowNanos, controller.current(nowNanos));
+    advance(nowNanos);
     expire(nowNanos, expired);
     int limit = controller.current(nowNanos);
     if (inFlight >= limit || queued == 0) {
       return Optional.empty();
     }
     Rank rank = nextRank(limit);
-    Ticket<T> ticket = rank == null ? late.poll() : queues.get(rank).pollFirst();
+    Ticket<T> ticket = rank == null ? late.peek() : queues.get(rank).first();
+    if (settings.keepsHeadroom() && !leavesHeadroom(ticket.rank(), limit)) {
+      return Optional.empty();
+    }
+    if (!late.remove(ticket)) {
+      queues.get(ticket.rank()).remove(ticket);
+    }
     queued--;
     inFlight++;
     shares.started(ticket.rank());
+    if (!ticket.hasObjective()) {
+      callShares.started(ticket.rank());
+    }
     ticket.start(nowNanos);
     return Optional.of(ticket);
   }
 
+  /**
+   * Whether the slots that stay free after a start, with those that calls of higher ranks hold, are
+   * enough for what such calls used on average and one deviation of a Poisson load more. Only the
+   * calls of requests that run elsewhere count, because a slot there waits for each of them.
+   */
+  private boolean leavesHeadroom(Rank rank, int limit) {
+    double used = 0;
+    int held = 0;
+    for (Rank higher : Rank.values()) {
+      if (higher.compareTo(rank) >= 0) {
+        break;
+      }
+      used += callShares.recentShare(higher) * limit;
+      held += callShares.inFlight(higher);
+    }
+    // Other work must go on, whatever the calls use.
+    boolean runsAlone = inFlight == held;
+    int free = limit - inFlight - 1;
+    return runsAlone || free + held >= Math.min(limit - 1, used + Math.sqrt(used));
+  }
+
   /** The rank whose queue is served next; null when only late requests wait. */
   private Rank nextRank(int limit) {
     Rank highest = null;
@@ -214,8 +252,7 @@
   }
 
   private static boolean missesObjective(Ticket<?> ticket, double needed, long nowNanos) {
-    return ticket.objectiveNanos() != ticket.deadlineNanos()
-        && ticket.objectiveNanos() - nowNanos < needed;
+    return ticket.hasObjective() && ticket.objectiveNanos() - nowNanos < needed;
   }
 
   /** Takes a waiting request out of its queue; false when it runs or has ended. */
@@ -259,10 +296,13 @@
     if (ticket.state() != Ticket.State.RUNNING) {
       return;
     }
-    shares.advance(nowNanos, controller.current(nowNanos));
+    advance(nowNanos);
     ticket.end();
     inFlight--;
     shares.ended(ticket.rank());
+    if (!ticket.hasObjective()) {
+      callShares.ended(ticket.rank());
+    }
     if (completion == Completion.ANSWERED) {
       times.add(ticket.rank(), (double) (nowNanos - ticket.startedNanos()));
       controller.answered(ticket.rank(), headNanos, nowNanos);
--- a/product/src/main/java/io/foxtaildoor/request/admission/AdmissionSettings.java
+++ b/product/src/main/java/io/foxtaildoor/request/admission/AdmissionSettings.java
@@ -13,6 +13,8 @@
  * @param slowRatio latency relative to its long-term mean that counts as growth
  * @param lateWait longest wait that a request is queued for once it cannot meet its objective any
  *     more; such a request runs only while no other one waits
+ * @param keepsHeadroom whether a request starts only while enough slots stay free for what calls of
+ *     higher ranks used recently
  * @param mode order in which waiting requests start
  */
 public record AdmissionSettings(
@@ -22,6 +24,7 @@
     double slowFactor,
     double slowRatio,
     Duration lateWait,
+    boolean keepsHeadroom,
     AdmissionMode mode) {
 
   /** Callers that are refused sooner can still be served elsewhere. */
@@ -30,12 +33,29 @@
   /** Settings for the deployments described in the design page. */
   public static AdmissionSettings defaults() {
     return new AdmissionSettings(
-        256, Duration.ofSeconds(1), 0.7, 0.9, 2.0, LATE_WAIT, AdmissionMode.RANKS);
+        256, Duration.ofSeconds(1), 0.7, 0.9, 2.0, LATE_WAIT, false, AdmissionMode.RANKS);
+  }
+
+  /**
+   * These settings for an upstream that reports its own capacity: the limit stays at it. A node is
+   * the only way to its upstream, so what the upstream refuses or how slow it is does not tell that
+   * too much was sent; and slots are kept free for calls of higher ranks.
+   */
+  public AdmissionSettings withReportedCapacity() {
+    return new AdmissionSettings(
+        maxQueuedPerRank, shareWindow, 1, 1, slowRatio, lateWait, true, mode);
   }
 
   /** The same settings with another order. */
   public AdmissionSettings withMode(AdmissionMode other) {
     return new AdmissionSettings(
-        maxQueuedPerRank, shareWindow, shedFactor, slowFactor, slowRatio, lateWait, other);
+        maxQueuedPerRank,
+        shareWindow,
+        shedFactor,
+        slowFactor,
+        slowRatio,
+        lateWait,
+        keepsHeadroom,
+        other);
   }
 }
--- a/product/src/main/java/io/foxtaildoor/request/admission/LateQueue.java
+++ b/product/src/main/java/io/foxtaildoor/request/admission/LateQueue.java
@@ -35,6 +35,11 @@
     return tickets.remove(ticket);
   }
 
+  /** The next ticket; null when none waits. */
+  Ticket<T> peek() {
+    return tickets.isEmpty() ? null : tickets.first();
+  }
+
   /** Takes the next ticket; null when none waits. */
   Ticket<T> poll() {
     Ticket<T> next = tickets.pollFirst();
--- a/product/src/main/java/io/foxtaildoor/request/admission/Ticket.java
+++ b/product/src/main/java/io/foxtaildoor/request/admission/Ticket.java
@@ -52,6 +52,11 @@
     return objectiveNanos;
   }
 
+  /** Whether the request loses worth before its deadline; a call without a second try does not. */
+  boolean hasObjective() {
+    return objectiveNanos != deadlineNanos;
+  }
+
   /** Time that the request waited for its slot. */
   public long waitNanos() {
     return startedNanos - offeredNanos;
