--- a/product/src/test/java/io/foxtaildoor/connection/upstream/ScriptedUpstream.java
+++ b/product/src/test/java/io/foxtaildoor/connection/upstream/ScriptedUpstream.java
@@ -14,6 +14,8 @@
 
 /** A small HTTP server whose connections follow a script. */
 final class ScriptedUpstream implements AutoCloseable {
+  private static final long PAUSE_MILLIS = 100;
+
   private final ServerSocket server;
   private final Script script;
   private final List<Socket> sockets = new CopyOnWriteArrayList<>();
@@ -119,6 +121,15 @@
       socket.getOutputStream().flush();
     }
 
+    /** Lets the other side read what was written before a reset could overtake it. */
+    void pause() throws IOException {
+      try {
+        Thread.sleep(PAUSE_MILLIS);
+      } catch (InterruptedException e) {
+        throw new IOException(e);
+      }
+    }
+
     void reset() throws IOException {
       socket.setSoLinger(true, 0);
       socket.close();
--- a/product/src/test/java/io/foxtaildoor/connection/upstream/UpstreamFixture.java
+++ b/product/src/test/java/io/foxtaildoor/connection/upstream/UpstreamFixture.java
@@ -47,6 +47,10 @@
   volatile Service service;
 
   UpstreamFixture(int slots, Duration progressTimeout) {
+    this(slots, progressTimeout, 0, HeaderDialect.STANDARD);
+  }
+
+  UpstreamFixture(int slots, Duration progressTimeout, int heldBytes, HeaderDialect headers) {
     service =
         new Service(SERVICE, new TeamId("team"), Set.of("*"), slots, 20, Map.of(), Duration.ZERO);
     UpstreamSettings settings =
@@ -56,8 +60,8 @@
             Duration.ofSeconds(20),
             Duration.ofSeconds(20),
             Duration.ofSeconds(20),
-            0,
-            HeaderDialect.STANDARD,
+            heldBytes,
+            headers,
             1 << 20,
             1 << 22,
             AdmissionSettings.defaults(),
--- /dev/null
+++ b/product/src/test/java/io/foxtaildoor/process/instance/InstanceReportsTest.java
@@ -0,0 +1,132 @@
+package io.foxtaildoor.process.instance;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import io.foxtaildoor.common.ServiceId;
+import io.foxtaildoor.process.platform.MemoryStore;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Decisions on reports of an instance. */
+public class InstanceReportsTest {
+  private static final InetSocketAddress ADDRESS =
+      new InetSocketAddress(InetAddress.getLoopbackAddress(), 8080);
+
+  private MemoryStore store;
+  private List<String> events;
+
+  @BeforeMethod
+  public void create() {
+    store = new MemoryStore();
+    events = new ArrayList<>();
+  }
+
+  /** Reports of a node process; a second one stands for a restarted node. */
+  private InstanceReports node() {
+    return new InstanceReports(
+        ADDRESS,
+        new InstanceReports.Upstream() {
+          @Override
+          public void use(InstanceReport report) {
+            events.add("use " + report.incarnation().id());
+          }
+
+          @Override
+          public CompletableFuture<Void> release(Incarnation incarnation) {
+            events.add("release " + incarnation.id());
+            return CompletableFuture.completedFuture(null);
+          }
+        },
+        new LeavingLog(store, ADDRESS),
+        () -> 0);
+  }
+
+  private static InstanceReport report(String id, long started, boolean leaving, long sequence) {
+    return new InstanceReport(
+        new Incarnation(new InstanceId(id), started),
+        new ServiceId("bookings"),
+        ADDRESS,
+        9,
+        leaving,
+        Duration.ZERO,
+        sequence);
+  }
+
+  /** Guards against a late report that takes back a newer one of the same instance. */
+  @Test
+  public void reportWithAnOldSequenceIsNoNews() {
+    InstanceReports reports = node();
+    assertTrue(reports.reported(report("i-1", 100, false, 5)).join());
+    assertTrue(reports.reported(report("i-1", 100, false, 4)).join());
+    assertEquals(events, List.of("use i-1"));
+  }
+
+  /** Guards against a delayed report of a former instance that replaces its successor. */
+  @Test
+  public void reportOfAnEarlierStartIsNoNews() {
+    InstanceReports reports = node();
+    reports.reported(report("i-2", 200, false, 1)).join();
+    reports.reported(report("i-1", 100, false, 99)).join();
+    reports.reported(report("i-2", 150, false, 99)).join();
+    assertEquals(events, List.of("use i-2"));
+  }
+
+  /** Guards against a start under a former id whose count begins anew and is taken for old. */
+  @Test
+  public void newStartUnderTheSameIdIsNews() {
+    InstanceReports reports = node();
+    reports.reported(report("i-1", 100, true, 9)).join();
+    reports.reported(report("i-1", 200, false, 1)).join();
+    assertEquals(events, List.of("release i-1", "use i-1"));
+  }
+
+  /** Guards against an acknowledged leaving that a restarted node forgets. */
+  @Test
+  public void restartedNodeKeepsAnAcknowledgedLeaving() {
+    assertTrue(node().reported(report("i-1", 100, true, 5)).join());
+    events.clear();
+    InstanceReports restarted = node();
+    assertTrue(restarted.reported(report("i-1", 100, false, 4)).join());
+    assertEquals(events, List.of());
+  }
+
+  /** Guards against an acknowledgement that only this process knows of. */
+  @Test
+  public void leavingIsAcknowledgedOnlyWhenThePlatformKeepsIt() {
+    InstanceReports reports = node();
+    reports.reported(report("i-1", 100, false, 1)).join();
+    store.setDown(true);
+    assertFalse(reports.reported(report("i-1", 100, true, 2)).join());
+    assertEquals(events, List.of("use i-1", "release i-1"));
+    store.setDown(false);
+    assertTrue(reports.reported(report("i-1", 100, true, 3)).join());
+  }
+
+  /** Guards against an instance that leaves without a report and gets requests still. */
+  @Test
+  public void endWithoutALeavingReportReleases() {
+    InstanceReports reports = node();
+    reports.reported(report("i-1", 100, false, 1)).join();
+    assertTrue(reports.ended(new InstanceId("i-1")).join());
+    assertTrue(reports.reported(report("i-1", 100, false, 2)).join());
+    assertEquals(events, List.of("use i-1", "release i-1"));
+  }
+
+  /** Guards against the end of a former instance that takes away its successor. */
+  @Test
+  public void endOfAFormerInstanceLeavesTheNextOneInUse() {
+    InstanceReports reports = node();
+    reports.reported(report("i-1", 100, true, 1)).join();
+    reports.reported(report("i-2", 200, false, 1)).join();
+    assertTrue(reports.ended(new InstanceId("i-1")).join());
+    assertEquals(events.get(events.size() - 1), "use i-2");
+  }
+}
--- /dev/null
+++ b/product/src/test/java/io/foxtaildoor/process/platform/MemoryStore.java
@@ -0,0 +1,66 @@
+package io.foxtaildoor.process.platform;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+
+/** Keys and values in memory for tests; a down store gives no answer that took effect. */
+public final class MemoryStore implements KeyValueStore {
+  private final Map<String, PlatformEntry> entries = new HashMap<>();
+  private long revision;
+  private boolean down;
+
+  /** Makes the store answer no more calls, or answer again. */
+  public synchronized void setDown(boolean wanted) {
+    down = wanted;
+  }
+
+  @Override
+  public synchronized CompletableFuture<PlatformResult<PlatformEntry>> get(String key) {
+    return answer(new PlatformResult.Done<>(present(key)));
+  }
+
+  private PlatformEntry present(String key) {
+    return entries.getOrDefault(key, new PlatformEntry(key, ABSENT_REVISION, new byte[0]));
+  }
+
+  private CompletableFuture<PlatformResult<PlatformEntry>> answer(
+      PlatformResult<PlatformEntry> result) {
+    return CompletableFuture.completedFuture(
+        down ? new PlatformResult.Unavailable<>("the store is down") : result);
+  }
+
+  @Override
+  public synchronized CompletableFuture<PlatformResult<PlatformEntry>> compareAndSet(
+      String key, long expectedRevision, byte[] value) {
+    PlatformEntry present = present(key);
+    if (down || present.revision() != expectedRevision) {
+      return answer(new PlatformResult.Conflict<>(present));
+    }
+    revision++;
+    PlatformEntry written = new PlatformEntry(key, revision, value);
+    entries.put(key, written);
+    return answer(new PlatformResult.Done<>(written));
+  }
+
+  @Override
+  public synchronized CompletableFuture<PlatformResult<PlatformEntry>> compareAndDelete(
+      String key, long expectedRevision) {
+    PlatformEntry present = present(key);
+    if (down || present.revision() != expectedRevision) {
+      return answer(new PlatformResult.Conflict<>(present));
+    }
+    entries.remove(key);
+    return answer(new PlatformResult.Done<>(present(key)));
+  }
+
+  @Override
+  public CompletableFuture<PlatformResult<PlatformEntry>> watch(
+      String key, long knownRevision, Duration maxWait) {
+    return get(key);
+  }
+
+  @Override
+  public void close() {}
+}
--- a/product/src/test/java/io/foxtaildoor/request/admission/AdmissionQueueTest.java
+++ b/product/src/test/java/io/foxtaildoor/request/admission/AdmissionQueueTest.java
@@ -77,6 +77,70 @@
       assertEquals(poll(queue, MILLIS), Optional.empty());
     }
 
+    private static AdmissionQueue<String> busyQueue(int slots, long serviceNanos) {
+      AdmissionQueue<String> queue =
+          new AdmissionQueue<>(
+              AdmissionSettings.defaults().withReportedCapacity(),
+              new UpstreamLimits(slots, Map.of(), 0, 0),
+              0);
+      for (int i = 0; i < slots; i++) {
+        queue.offer("first" + i, Rank.URGENT, 10_000 * MILLIS, 0);
+        Ticket<String> ticket = queue.poll(0, expired -> {}).orElseThrow();
+        queue.finish(ticket, Completion.ANSWERED, serviceNanos, serviceNanos);
+      }
+      for (int i = 0; i < slots; i++) {
+        queue.offer("running" + i, Rank.URGENT, 10_000 * MILLIS, serviceNanos);
+        assertTrue(queue.poll(serviceNanos, expired -> {}).isPresent());
+      }
+      return queue;
+    }
+
+    /** Guards against requests that miss their objective and take the slots of others. */
+    @Test
+    public void requestThatMissesItsObjectiveRunsLast() {
+      long now = 100 * MILLIS;
+      AdmissionQueue<String> queue = busyQueue(4, now);
+      long deadline = now + 5_000 * MILLIS;
+      assertTrue(
+          queue.offer("missed", Rank.URGENT, deadline, now + MILLIS, now).ticket().isPresent());
+      assertTrue(
+          queue
+              .offer("in time", Rank.LOW, deadline, now + 4_000 * MILLIS, now)
+              .ticket()
+              .isPresent());
+      queue.configure(new UpstreamLimits(6, Map.of(), 0, 1), now);
+      assertEquals(poll(queue, now), Optional.of("in time"));
+      assertEquals(poll(queue, now), Optional.of("missed"));
+    }
+
+    /** Guards against a request that is held although it will not meet its objective soon. */
+    @Test
+    public void requestThatMissesItsObjectiveIsRefusedBehindALongQueue() {
+      long now = 100 * MILLIS;
+      AdmissionQueue<String> queue = busyQueue(4, now);
+      long deadline = now + 5_000 * MILLIS;
+      for (int i = 0; i < 8; i++) {
+        queue.offer("waiting" + i, Rank.URGENT, deadline, now + 4_000 * MILLIS, now);
+      }
+      assertEquals(
+          queue.offer("missed", Rank.URGENT, deadline, now + MILLIS, now).refusal(),
+          Optional.of(ErrorKind.OVERLOADED));
+    }
+
+    /** Guards against a limit that a slow or shedding upstream lowers below its capacity. */
+    @Test
+    public void reportedCapacityStays() {
+      AdmissionQueue<String> queue = busyQueue(4, 100 * MILLIS);
+      for (int i = 1; i <= 50; i++) {
+        long now = (100 + i) * MILLIS;
+        queue.offer("x", Rank.URGENT, now + 5_000 * MILLIS, now);
+        queue
+            .poll(now, expired -> {})
+            .ifPresent(ticket -> queue.finish(ticket, Completion.SHED, MILLIS, now));
+      }
+      assertEquals(queue.load(200 * MILLIS).limit(), 4);
+    }
+
     /** Guards against requests that run after their deadline or are lost without an answer. */
     @Test
     public void expiredRequestsAreReportedAndNotRun() {
