--- a/product/src/main/java/io/foxtaildoor/connection/caller/Dispatcher.java
+++ b/product/src/main/java/io/foxtaildoor/connection/caller/Dispatcher.java
@@ -7,6 +7,7 @@
 import io.foxtaildoor.common.ServiceId;
 import io.foxtaildoor.process.membership.NodeRecord;
 import io.foxtaildoor.request.balance.Selection;
+import io.foxtaildoor.request.balance.Urgency;
 import io.foxtaildoor.request.idempotency.KeyedRequests.Ending;
 import java.util.HashSet;
 import java.util.List;
@@ -52,9 +53,11 @@
                     candidates,
                     tried,
                     head.route().idempotent(),
+                    urgency(nowNanos),
                     nowNanos,
                     dependencies.random().get());
-    Selection chosen = selection.orElseThrow(this::noUpstream);
+    Selection chosen =
+        selection.orElseThrow(() -> candidates.isEmpty() ? noUpstream() : allRefuse());
     tried.add(chosen.node().id());
     return chosen;
   }
@@ -87,6 +90,17 @@
     return selection.get();
   }
 
+  private Urgency urgency(long nowNanos) {
+    boolean misses =
+        head.objectiveNanos().isPresent() && head.objectiveNanos().getAsLong() - nowNanos <= 0;
+    return Urgency.of(head.route().rank(), misses);
+  }
+
+  private FoxtaildoorException allRefuse() {
+    return new FoxtaildoorException(
+        ErrorKind.OVERLOADED, "every instance of service " + service + " refused a moment ago");
+  }
+
   private FoxtaildoorException noUpstream() {
     return new FoxtaildoorException(
         ErrorKind.NO_UPSTREAM, "service " + service + " has no upstream");
--- a/product/src/main/java/io/foxtaildoor/connection/caller/FailureTable.java
+++ b/product/src/main/java/io/foxtaildoor/connection/caller/FailureTable.java
@@ -47,14 +47,10 @@
   /** What a failed attempt says about its instance. */
   static AttemptResult result(ErrorKind kind) {
     return switch (kind) {
-      case OVERLOADED, LEAVING, NO_UPSTREAM, NOT_READY -> AttemptResult.REFUSED;
-      case NODE_UNREACHABLE,
-          UPSTREAM_UNREACHABLE,
-          OUTCOME_UNKNOWN,
-          TIMEOUT,
-          BAD_UPSTREAM_ANSWER,
-          PROTOCOL_VIOLATION,
-          INTERNAL ->
+      case OVERLOADED -> AttemptResult.REFUSED;
+      case LEAVING, NO_UPSTREAM, NOT_READY -> AttemptResult.ABSENT;
+      case NODE_UNREACHABLE, UPSTREAM_UNREACHABLE -> AttemptResult.UNREACHABLE;
+      case OUTCOME_UNKNOWN, TIMEOUT, BAD_UPSTREAM_ANSWER, PROTOCOL_VIOLATION, INTERNAL ->
           AttemptResult.FAILED;
       default -> AttemptResult.ABANDONED;
     };
--- a/product/src/main/java/io/foxtaildoor/connection/caller/ProblemDocuments.java
+++ b/product/src/main/java/io/foxtaildoor/connection/caller/ProblemDocuments.java
@@ -1,6 +1,6 @@
 package io.foxtaildoor.connection.caller;
 
-import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.foxtaildoor.common.ErrorKind;
 import io.foxtaildoor.common.HeaderNames;
@@ -18,8 +18,6 @@
 
 /** Error answers as problem documents with the id of the request. */
 final class ProblemDocuments {
-  private static final ObjectMapper MAPPER = new ObjectMapper();
-
   private final CallerProtocol protocol;
 
   ProblemDocuments(CallerProtocol protocol) {
@@ -37,8 +35,18 @@
    */
   FullHttpResponse of(
       ErrorKind kind, Outcome outcome, String detail, String requestId, Duration retryAfter) {
-    ObjectNode document = MAPPER.valueToTree(Problem.of(kind, outcome, detail));
-    document.put("requestId", requestId);
+    Problem problem = Problem.of(kind, outcome, detail);
+    // Written field by field: bean introspection costs more than the rest of a refusal.
+    ObjectNode document =
+        JsonNodeFactory.instance
+            .objectNode()
+            .put("type", problem.type())
+            .put("title", problem.title())
+            .put("status", problem.status())
+            .put("detail", problem.detail())
+            .put("kind", problem.kind())
+            .put("outcome", problem.outcome())
+            .put("requestId", requestId);
     byte[] content = document.toString().getBytes(StandardCharsets.UTF_8);
     FullHttpResponse response =
         new DefaultFullHttpResponse(
--- a/product/src/main/java/io/foxtaildoor/connection/upstream/UpstreamMetrics.java
+++ b/product/src/main/java/io/foxtaildoor/connection/upstream/UpstreamMetrics.java
@@ -2,9 +2,13 @@
 
 import io.foxtaildoor.common.ErrorKind;
 import io.foxtaildoor.common.Rank;
+import io.micrometer.core.instrument.Counter;
 import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.core.instrument.Tags;
+import io.micrometer.core.instrument.Timer;
 import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.ToDoubleFunction;
 
@@ -13,6 +17,7 @@
   private static final String PREFIX = "foxtaildoor.upstream.";
 
   private final MeterRegistry registry;
+  private final Map<Rank, RankMeters> meters = new ConcurrentHashMap<>();
 
   UpstreamMetrics(MeterRegistry registry) {
     this.registry = registry;
@@ -31,12 +36,17 @@
   }
 
   void admitted(Rank rank, long waitNanos) {
-    registry.counter(PREFIX + "admitted", tags(rank)).increment();
-    registry.timer(PREFIX + "wait", tags(rank)).record(waitNanos, TimeUnit.NANOSECONDS);
+    byRank(rank).admitted.increment();
+    byRank(rank).wait.record(waitNanos, TimeUnit.NANOSECONDS);
   }
 
   void failed(Rank rank, ErrorKind kind) {
-    registry.counter(PREFIX + "refused", tags(rank).and("kind", kind.headerValue())).increment();
+    byRank(rank)
+        .refused
+        .computeIfAbsent(
+            kind,
+            key -> registry.counter(PREFIX + "refused", tags(rank).and("kind", key.headerValue())))
+        .increment();
   }
 
   /** Counts an answer that belonged to no waiting request. */
@@ -45,7 +55,25 @@
   }
 
   void served(Rank rank, long serviceNanos) {
-    registry.timer(PREFIX + "service", tags(rank)).record(serviceNanos, TimeUnit.NANOSECONDS);
+    byRank(rank).service.record(serviceNanos, TimeUnit.NANOSECONDS);
+  }
+
+  private RankMeters byRank(Rank rank) {
+    return meters.computeIfAbsent(rank, key -> new RankMeters(registry, key));
+  }
+
+  /** The meters of one rank, kept because a lookup by name and tags costs more than a count. */
+  private static final class RankMeters {
+    private final Counter admitted;
+    private final Timer wait;
+    private final Timer service;
+    private final Map<ErrorKind, Counter> refused = new ConcurrentHashMap<>();
+
+    RankMeters(MeterRegistry registry, Rank rank) {
+      admitted = registry.counter(PREFIX + "admitted", tags(rank));
+      wait = registry.timer(PREFIX + "wait", tags(rank));
+      service = registry.timer(PREFIX + "service", tags(rank));
+    }
   }
 
   private static Tags tags(Rank rank) {
--- a/product/src/main/java/io/foxtaildoor/connection/upstream/UpstreamServer.java
+++ b/product/src/main/java/io/foxtaildoor/connection/upstream/UpstreamServer.java
@@ -241,7 +241,7 @@
       UpstreamLimits limits =
           new UpstreamLimits(
               Math.max(1, slots),
-              configured.reservedPercent(),
+              reserved(),
               configured.coldStart().toNanos(),
               announced.startedAtNanos());
       admission.configure(limits, now());
@@ -249,6 +249,12 @@
     return service.isPresent();
   }
 
+  /** Shares that ranks keep in a flood of others; standard ones when the service states none. */
+  private Map<Rank, Integer> reserved() {
+    Map<Rank, Integer> stated = configured.reservedPercent();
+    return stated.isEmpty() ? settings.admission().standardReserve() : stated;
+  }
+
   private void claim(Exchange exchange, KeyClaim decision) {
     if (decision instanceof KeyClaim.Granted granted) {
       exchange.claimed(granted.claim());
--- a/product/src/main/java/io/foxtaildoor/process/node/RequestPath.java
+++ b/product/src/main/java/io/foxtaildoor/process/node/RequestPath.java
@@ -12,8 +12,10 @@
 import io.foxtaildoor.connection.caller.CallerMetrics;
 import io.foxtaildoor.connection.caller.CallerPatience;
 import io.foxtaildoor.connection.caller.CallerSettings;
+import io.foxtaildoor.connection.link.LinkClient;
 import io.foxtaildoor.connection.link.LinkMetrics;
 import io.foxtaildoor.connection.link.LinkSettings;
+import io.foxtaildoor.connection.link.LocalLinkClient;
 import io.foxtaildoor.connection.link.NettyLinkClient;
 import io.foxtaildoor.connection.upstream.UpstreamServer;
 import io.foxtaildoor.process.settings.Settings;
@@ -49,6 +51,15 @@
             context.invariants(),
             context.clock(),
             context.random());
+    upstream =
+        new UpstreamServer(
+            context.group(),
+            profile.upstream(),
+            service -> control.holder().current().routes().service(service),
+            context.invariants(),
+            context.registry(),
+            context.clock());
+    LinkClient streams = new LocalLinkClient(context.nodeId(), upstream, links, context.group());
     UpstreamSelector selector =
         new UpstreamSelector(profile.balance(), settings.get(REGION), settings.get(DATA_CENTRE));
     RetrySettings retries = profile.retries();
@@ -61,7 +72,7 @@
                 patience,
                 control.holder()::current,
                 control.membership(),
-                links,
+                streams,
                 selector,
                 new RetryPolicy(retries),
                 new RetryBudgets(retries, () -> profile.retryFloor(control.membership())),
@@ -71,14 +82,6 @@
                 context.clock(),
                 ThreadLocalRandom::current),
             context.group());
-    upstream =
-        new UpstreamServer(
-            context.group(),
-            profile.upstream(),
-            service -> control.holder().current().routes().service(service),
-            context.invariants(),
-            context.registry(),
-            context.clock());
     control.holder().addListener(callers::configurationApplied);
     control
         .holder()
--- a/product/src/main/java/io/foxtaildoor/process/node/RequestProfile.java
+++ b/product/src/main/java/io/foxtaildoor/process/node/RequestProfile.java
@@ -36,10 +36,16 @@
   private static final int LEAST_NODES = 4;
 
   /** Attempts of one request, refusals of other nodes included. */
-  private static final int MAX_ATTEMPTS = 6;
+  private static final int MAX_ATTEMPTS = 4;
 
-  /** Wait that refusals ask for: a queue of requests of usual length has moved on by then. */
-  private static final Duration RETRY_AFTER = Duration.ofMillis(250);
+  /** Wait that refusals ask for; a shorter one meets the same surge again. */
+  private static final Duration RETRY_AFTER = Duration.ofMillis(700);
+
+  /** A slot of a busy instance becomes free about as often. */
+  private static final Duration REFUSAL_HOLD = Duration.ofMillis(30);
+
+  /** The news that a node is leaving or dead takes about as long. */
+  private static final Duration ABSENCE_HOLD = Duration.ofMillis(300);
 
   /** Answers of the usual size are passed on whole. */
   private static final int HELD_ANSWER_BYTES = 64 << 10;
@@ -80,7 +86,9 @@
         new CallerProtocol(adapter.headers(), settings.get(UPSTREAM_SERVICE), RETRY_AFTER),
         retries,
         fleet -> bounds.retryFloor() * BUDGET_USE / Math.max(LEAST_NODES, fleet.nodes().size()),
-        BalanceSettings.defaults().withSelection(settings.get(SELECTION)).withSlowStart(SLOW_START),
+        BalanceSettings.defaults()
+            .withSelection(settings.get(SELECTION))
+            .withSkips(SLOW_START, REFUSAL_HOLD, ABSENCE_HOLD),
         upstream.withManaged(HELD_ANSWER_BYTES, adapter.headers()));
   }
 
--- a/product/src/main/java/io/foxtaildoor/request/admission/AdmissionSettings.java
+++ b/product/src/main/java/io/foxtaildoor/request/admission/AdmissionSettings.java
@@ -1,6 +1,8 @@
 package io.foxtaildoor.request.admission;
 
+import io.foxtaildoor.common.Rank;
 import java.time.Duration;
+import java.util.Map;
 
 /**
  * Settings of the admission to one upstream.
@@ -15,6 +17,8 @@
  *     more; such a request runs only while no other one waits
  * @param keepsHeadroom whether a request starts only while enough slots stay free for what calls of
  *     higher ranks used recently
+ * @param standardReserve share of the slot time that ranks keep, in percent, for a service that
+ *     states none
  * @param mode order in which waiting requests start
  */
 public record AdmissionSettings(
@@ -25,15 +29,20 @@
     double slowRatio,
     Duration lateWait,
     boolean keepsHeadroom,
+    Map<Rank, Integer> standardReserve,
     AdmissionMode mode) {
 
   /** Callers that are refused sooner can still be served elsewhere. */
   private static final Duration LATE_WAIT = Duration.ofMillis(100);
 
+  /** No rank starves, and the most urgent one keeps most of the slots. */
+  private static final Map<Rank, Integer> LOWER_RANKS =
+      Map.of(Rank.HIGH, 12, Rank.NORMAL, 8, Rank.LOW, 4);
+
   /** Settings for the deployments described in the design page. */
   public static AdmissionSettings defaults() {
     return new AdmissionSettings(
-        256, Duration.ofSeconds(1), 0.7, 0.9, 2.0, LATE_WAIT, false, AdmissionMode.RANKS);
+        256, Duration.ofSeconds(1), 0.7, 0.9, 2.0, LATE_WAIT, false, Map.of(), AdmissionMode.RANKS);
   }
 
   /**
@@ -43,7 +52,7 @@
    */
   public AdmissionSettings withReportedCapacity() {
     return new AdmissionSettings(
-        maxQueuedPerRank, shareWindow, 1, 1, slowRatio, lateWait, true, mode);
+        maxQueuedPerRank, shareWindow, 1, 1, slowRatio, lateWait, true, LOWER_RANKS, mode);
   }
 
   /** The same settings with another order. */
@@ -56,6 +65,7 @@
         slowRatio,
         lateWait,
         keepsHeadroom,
+        standardReserve,
         other);
   }
 }
--- a/product/src/main/java/io/foxtaildoor/request/balance/AttemptResult.java
+++ b/product/src/main/java/io/foxtaildoor/request/balance/AttemptResult.java
@@ -8,6 +8,10 @@
   REFUSED,
   /** The instance or the link to it failed, or the attempt timed out. */
   FAILED,
+  /** The instance is leaving or has no upstream; it is no failure. */
+  ABSENT,
+  /** The instance or its node could not be reached. */
+  UNREACHABLE,
   /** The caller gave up; nothing is learned. */
   ABANDONED
 }
--- a/product/src/main/java/io/foxtaildoor/request/balance/BalanceSettings.java
+++ b/product/src/main/java/io/foxtaildoor/request/balance/BalanceSettings.java
@@ -15,6 +15,9 @@
  * @param firstEjection length of the first ejection; doubles with each failed probe
  * @param longestEjection upper bound of an ejection
  * @param riskyProbeDelay further time after which work that cannot be retried may probe
+ * @param refusalHold time for which an instance that refused a request gets no other one of the
+ *     same or lower urgency
+ * @param absenceHold time for which an instance that could not be reached or is leaving is skipped
  * @param selection how an instance is chosen
  */
 public record BalanceSettings(
@@ -28,6 +31,8 @@
     Duration firstEjection,
     Duration longestEjection,
     Duration riskyProbeDelay,
+    Duration refusalHold,
+    Duration absenceHold,
     SelectionMode selection) {
   /** The values of the design page and, where it leaves them open, those of the comparison tool. */
   public static BalanceSettings defaults() {
@@ -42,11 +47,13 @@
         Duration.ofSeconds(1),
         Duration.ofSeconds(60),
         Duration.ofSeconds(5),
+        Duration.ZERO,
+        Duration.ZERO,
         SelectionMode.POWER_OF_TWO);
   }
 
-  /** The same settings with another slow start. */
-  public BalanceSettings withSlowStart(Duration time) {
+  /** The same settings with another slow start and with times for which instances are skipped. */
+  public BalanceSettings withSkips(Duration time, Duration afterRefusal, Duration afterAbsence) {
     return new BalanceSettings(
         latencyWindow,
         latencyMemory,
@@ -58,6 +65,8 @@
         firstEjection,
         longestEjection,
         riskyProbeDelay,
+        afterRefusal,
+        afterAbsence,
         selection);
   }
 
@@ -74,6 +83,8 @@
         firstEjection,
         longestEjection,
         riskyProbeDelay,
+        refusalHold,
+        absenceHold,
         other);
   }
 }
--- a/product/src/main/java/io/foxtaildoor/request/balance/InstanceChoice.java
+++ b/product/src/main/java/io/foxtaildoor/request/balance/InstanceChoice.java
@@ -7,5 +7,6 @@
 /** Chooses an available instance that was not tried; null when there is none. */
 @FunctionalInterface
 interface InstanceChoice {
-  InstanceState choose(Set<NodeId> tried, boolean retriable, long nowNanos, RandomGenerator random);
+  InstanceState choose(
+      Set<NodeId> tried, boolean retriable, Urgency urgency, long nowNanos, RandomGenerator random);
 }
--- a/product/src/main/java/io/foxtaildoor/request/balance/InstanceState.java
+++ b/product/src/main/java/io/foxtaildoor/request/balance/InstanceState.java
@@ -28,6 +28,8 @@
   private long ejectedUntilNanos;
   private boolean restored;
   private long restoredAtNanos;
+  private final long[] heldUntilNanos = new long[Urgency.LEVELS];
+  private final boolean[] held = new boolean[Urgency.LEVELS];
 
   InstanceState(BalanceSettings settings, NodeRecord node) {
     this.settings = settings;
@@ -61,6 +63,24 @@
     return inFlight == 0 && nowNanos - ejectedUntilNanos >= delay;
   }
 
+  /** Whether the instance is skipped after it refused a request of the same or higher urgency. */
+  boolean isHeld(Urgency urgency, long nowNanos) {
+    for (int level = 0; level <= urgency.level(); level++) {
+      if (held[level] && heldUntilNanos[level] - nowNanos > 0) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** Skips the instance for requests of an urgency and below. */
+  void hold(Urgency urgency, Duration time, long nowNanos) {
+    if (!time.isZero()) {
+      held[urgency.level()] = true;
+      heldUntilNanos[urgency.level()] = nowNanos + time.toNanos();
+    }
+  }
+
   /** Share of its full load that the instance should get at present, more than 0 to 1. */
   double share(long nowNanos) {
     long began = node.upstream().map(UpstreamAnnouncement::startedAtNanos).orElse(nowNanos);
--- a/product/src/main/java/io/foxtaildoor/request/balance/Selection.java
+++ b/product/src/main/java/io/foxtaildoor/request/balance/Selection.java
@@ -7,9 +7,11 @@
   private final ServiceBalance owner;
   private final InstanceState instance;
   private final boolean probe;
+  private final Urgency urgency;
   private boolean finished;
 
-  Selection(ServiceBalance owner, InstanceState instance, boolean probe) {
+  Selection(ServiceBalance owner, InstanceState instance, boolean probe, Urgency urgency) {
+    this.urgency = urgency;
     this.owner = owner;
     this.instance = instance;
     this.probe = probe;
@@ -25,6 +27,10 @@
     return probe;
   }
 
+  Urgency urgency() {
+    return urgency;
+  }
+
   ServiceBalance owner() {
     return owner;
   }
--- a/product/src/main/java/io/foxtaildoor/request/balance/ServiceBalance.java
+++ b/product/src/main/java/io/foxtaildoor/request/balance/ServiceBalance.java
@@ -56,26 +56,28 @@
       List<NodeRecord> candidates,
       Set<NodeId> tried,
       boolean retriable,
+      Urgency urgency,
       long nowNanos,
       RandomGenerator random) {
     synchronize(candidates);
-    InstanceState best = choice.choose(tried, retriable, nowNanos, random);
+    InstanceState best = choice.choose(tried, retriable, urgency, nowNanos, random);
     if (best == null) {
-      best = drawAny(tried, random);
+      best = drawAny(tried, urgency, nowNanos, random);
     }
-    return Optional.ofNullable(best).map(instance -> select(instance, nowNanos));
+    return Optional.ofNullable(best).map(instance -> select(instance, urgency, nowNanos));
   }
 
   synchronized Optional<Selection> select(
       List<NodeRecord> candidates, NodeId target, long nowNanos) {
     synchronize(candidates);
-    return Optional.ofNullable(instances.get(target)).map(instance -> select(instance, nowNanos));
+    return Optional.ofNullable(instances.get(target))
+        .map(instance -> select(instance, Urgency.HIGHEST, nowNanos));
   }
 
-  private Selection select(InstanceState instance, long nowNanos) {
+  private Selection select(InstanceState instance, Urgency urgency, long nowNanos) {
     boolean probe = instance.awaitsProbe(nowNanos);
     instance.sent();
-    return new Selection(this, instance, probe);
+    return new Selection(this, instance, probe, urgency);
   }
 
   synchronized void report(Selection selection, ReportedLoad load, long nowNanos) {
@@ -94,7 +96,18 @@
         addToMean(latencyNanos);
         instance.answered(latencyNanos, selection.isProbe(), nowNanos);
       }
-      case REFUSED -> instance.refused(nowNanos);
+      case REFUSED -> {
+        instance.refused(nowNanos);
+        instance.hold(selection.urgency(), settings.refusalHold(), nowNanos);
+      }
+      case ABSENT -> {
+        instance.refused(nowNanos);
+        instance.hold(Urgency.HIGHEST, settings.absenceHold(), nowNanos);
+      }
+      case UNREACHABLE -> {
+        instance.failed(selection.isProbe(), mayEject(), nowNanos);
+        instance.hold(Urgency.HIGHEST, settings.absenceHold(), nowNanos);
+      }
       case FAILED -> instance.failed(selection.isProbe(), mayEject(), nowNanos);
       case ABANDONED -> {}
     }
@@ -156,11 +169,15 @@
   }
 
   private InstanceState nextInTurn(
-      Set<NodeId> tried, boolean retriable, long nowNanos, RandomGenerator random) {
+      Set<NodeId> tried,
+      boolean retriable,
+      Urgency urgency,
+      long nowNanos,
+      RandomGenerator random) {
     for (int i = 0; i < lastCandidates.size(); i++) {
       turn = (turn + 1) % lastCandidates.size();
       InstanceState instance = instances.get(lastCandidates.get(turn).id());
-      if (isEligible(instance, null, tried, retriable, nowNanos)) {
+      if (isEligible(instance, null, tried, retriable, urgency, nowNanos)) {
         return instance;
       }
     }
@@ -168,11 +185,16 @@
   }
 
   private InstanceState bestOfTiers(
-      Set<NodeId> tried, boolean retriable, long nowNanos, RandomGenerator random) {
+      Set<NodeId> tried,
+      boolean retriable,
+      Urgency urgency,
+      long nowNanos,
+      RandomGenerator random) {
     InstanceState best = null;
     double bestScore = Double.POSITIVE_INFINITY;
     for (int tier = 0; tier < TIERS; tier++) {
-      InstanceState candidate = bestOfTwo(tiers.get(tier), tried, retriable, nowNanos, random);
+      InstanceState candidate =
+          bestOfTwo(tiers.get(tier), tried, retriable, urgency, nowNanos, random);
       if (candidate == null) {
         continue;
       }
@@ -197,11 +219,12 @@
       List<InstanceState> tier,
       Set<NodeId> tried,
       boolean retriable,
+      Urgency urgency,
       long nowNanos,
       RandomGenerator random) {
-    InstanceState first = draw(tier, null, tried, retriable, nowNanos, random);
+    InstanceState first = draw(tier, null, tried, retriable, urgency, nowNanos, random);
     InstanceState second =
-        first == null ? null : draw(tier, first, tried, retriable, nowNanos, random);
+        first == null ? null : draw(tier, first, tried, retriable, urgency, nowNanos, random);
     if (second == null || first.awaitsProbe(nowNanos)) {
       return first;
     }
@@ -218,6 +241,7 @@
       InstanceState other,
       Set<NodeId> tried,
       boolean retriable,
+      Urgency urgency,
       long nowNanos,
       RandomGenerator random) {
     if (tier.isEmpty()) {
@@ -225,7 +249,7 @@
     }
     for (int i = 0; i < DRAWS; i++) {
       InstanceState drawn = tier.get(random.nextInt(tier.size()));
-      if (isEligible(drawn, other, tried, retriable, nowNanos)
+      if (isEligible(drawn, other, tried, retriable, urgency, nowNanos)
           && (drawn.share(nowNanos) >= 1 || random.nextDouble() < drawn.share(nowNanos))) {
         return drawn;
       }
@@ -234,7 +258,7 @@
     InstanceState starting = null;
     for (int i = 0; i < tier.size(); i++) {
       InstanceState instance = tier.get((offset + i) % tier.size());
-      if (isEligible(instance, other, tried, retriable, nowNanos)) {
+      if (isEligible(instance, other, tried, retriable, urgency, nowNanos)) {
         if (instance.share(nowNanos) >= 1) {
           return instance;
         }
@@ -250,17 +274,20 @@
       InstanceState other,
       Set<NodeId> tried,
       boolean retriable,
+      Urgency urgency,
       long nowNanos) {
     return instance != other
         && !tried.contains(instance.node().id())
+        && !instance.isHeld(urgency, nowNanos)
         && instance.isAvailable(retriable, nowNanos);
   }
 
   /** Draws from all instances not tried yet, ejected ones included. */
-  private InstanceState drawAny(Set<NodeId> tried, RandomGenerator random) {
+  private InstanceState drawAny(
+      Set<NodeId> tried, Urgency urgency, long nowNanos, RandomGenerator random) {
     List<InstanceState> left = new ArrayList<>();
     for (InstanceState instance : instances.values()) {
-      if (!tried.contains(instance.node().id())) {
+      if (!tried.contains(instance.node().id()) && !instance.isHeld(urgency, nowNanos)) {
         left.add(instance);
       }
     }
--- a/product/src/main/java/io/foxtaildoor/request/balance/UpstreamSelector.java
+++ b/product/src/main/java/io/foxtaildoor/request/balance/UpstreamSelector.java
@@ -46,7 +46,23 @@
       boolean retriable,
       long nowNanos,
       RandomGenerator random) {
-    return balance(service).choose(candidates, tried, retriable, nowNanos, random);
+    return choose(service, candidates, tried, retriable, Urgency.HIGHEST, nowNanos, random);
+  }
+
+  /**
+   * Chooses as the other method does, without the instances that refused such a request just now.
+   *
+   * @return empty when every candidate was tried or is skipped
+   */
+  public Optional<Selection> choose(
+      ServiceId service,
+      List<NodeRecord> candidates,
+      Set<NodeId> tried,
+      boolean retriable,
+      Urgency urgency,
+      long nowNanos,
+      RandomGenerator random) {
+    return balance(service).choose(candidates, tried, retriable, urgency, nowNanos, random);
   }
 
   /**
