--- a/product/src/main/java/io/foxtaildoor/common/HeaderDialect.java
+++ b/product/src/main/java/io/foxtaildoor/common/HeaderDialect.java
@@ -1,7 +1,5 @@
 package io.foxtaildoor.common;
 
-import java.util.Set;
-
 /**
  * Names of the headers that carry a request's context between callers, nodes and upstreams. An
  * empty name stands for a header that the dialect does not have.
@@ -36,8 +34,10 @@
   /** Whether a caller's header is replaced by one that the node sets. */
   public boolean isSetByNode(String lowerCaseName) {
     return lowerCaseName.startsWith(HeaderNames.PREFIX)
-        || Set.of(requestId, deadlineMillis, caller, targetInstance).stream()
-            .anyMatch(lowerCaseName::equalsIgnoreCase);
+        || lowerCaseName.equalsIgnoreCase(requestId)
+        || lowerCaseName.equalsIgnoreCase(deadlineMillis)
+        || lowerCaseName.equalsIgnoreCase(caller)
+        || lowerCaseName.equalsIgnoreCase(targetInstance);
   }
 
   /** Whether every good answer of an upstream carries its signature. */
--- a/product/src/main/java/io/foxtaildoor/process/membership/SwimCore.java
+++ b/product/src/main/java/io/foxtaildoor/process/membership/SwimCore.java
@@ -25,7 +25,7 @@
  */
 final class SwimCore {
   /** Time between two calls of {@link #tick}; also the shortest time between urgent pushes. */
-  static final Duration TICK = Duration.ofMillis(20);
+  static final Duration TICK = Duration.ofMillis(100);
 
   /** A longer time between two ticks means that the process was paused. */
   private static final long PAUSE_NANOS = Duration.ofSeconds(1).toNanos();
--- /dev/null
+++ b/product/src/test/java/io/foxtaildoor/process/instance/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the reports of instances. */
+package io.foxtaildoor.process.instance;
