--- a/product/src/main/java/io/foxtaildoor/process/node/ManagedServices.java
+++ b/product/src/main/java/io/foxtaildoor/process/node/ManagedServices.java
@@ -31,6 +31,9 @@
    */
   private static final double ANNOUNCED_SHARE = 0.5;
 
+  /** Part of the stop limit for finishing requests; the rest is for closing. */
+  private static final double DRAIN_SHARE = 0.4;
+
   private final NodeContext context;
   private final PlatformAdapter adapter;
   private ManagedSide side;
@@ -111,9 +114,17 @@
 
   @Override
   public CompletableFuture<Void> announceStop() {
+    return context.scheduler().delay(part(ANNOUNCED_SHARE));
+  }
+
+  @Override
+  public Duration drainLimit() {
+    return part(DRAIN_SHARE);
+  }
+
+  private Duration part(double share) {
     Duration limit = adapter.bounds(context.settings().get(PLATFORM_BOUNDS)).stopLimit();
-    Duration announced = Duration.ofMillis((long) (limit.toMillis() * ANNOUNCED_SHARE));
-    return context.scheduler().delay(announced);
+    return Duration.ofMillis((long) (limit.toMillis() * share));
   }
 
   @Override
--- a/product/src/main/java/io/foxtaildoor/process/node/Node.java
+++ b/product/src/main/java/io/foxtaildoor/process/node/Node.java
@@ -3,7 +3,6 @@
 import static io.foxtaildoor.process.settings.NodeSettings.ADDRESS;
 import static io.foxtaildoor.process.settings.NodeSettings.ANNOUNCEMENT_EXPIRY;
 import static io.foxtaildoor.process.settings.NodeSettings.DATA_CENTRE;
-import static io.foxtaildoor.process.settings.NodeSettings.DRAIN_TIMEOUT;
 import static io.foxtaildoor.process.settings.NodeSettings.NODE_NAME;
 import static io.foxtaildoor.process.settings.NodeSettings.OPERATOR_PORT;
 import static io.foxtaildoor.process.settings.NodeSettings.PEER_PORT;
@@ -188,19 +187,24 @@
   }
 
   private boolean drain() {
-    Duration limit = settings.get(DRAIN_TIMEOUT).plus(STEP_LIMIT);
+    long endNanos = context.clock().getAsLong() + services.drainLimit().toNanos();
     CompletableFuture<Boolean> upstream =
         requests.upstream().beginDrain(context.clock().getAsLong());
     CompletableFuture<Void> streams = peers.beginDrain();
     CompletableFuture<Integer> callers = requests.callers().beginDrain();
     CompletableFuture<Void> operatorCalls = operators.beginDrain();
-    boolean whole = await("requests to the upstream", upstream, limit);
-    whole &= await("streams of other nodes", streams, limit);
-    whole &= await("requests of callers", callers.thenApply(cut -> cut == 0), limit);
-    whole &= await("operator calls", operatorCalls, STEP_LIMIT);
+    boolean whole = await("requests to the upstream", upstream, left(endNanos));
+    whole &= await("streams of other nodes", streams, left(endNanos));
+    whole &= await("requests of callers", callers.thenApply(cut -> cut == 0), left(endNanos));
+    whole &= await("operator calls", operatorCalls, left(endNanos));
     return whole;
   }
 
+  /** All steps of the drain share one limit, because together they must end before a kill. */
+  private Duration left(long endNanos) {
+    return Duration.ofNanos(Math.max(0, endNanos - context.clock().getAsLong()));
+  }
+
   /** Waits for a step of the stop; gives whether it ended in time and without a cut. */
   private static boolean await(String step, CompletableFuture<?> future, Duration limit) {
     try {
--- a/product/src/main/java/io/foxtaildoor/process/node/PlatformServices.java
+++ b/product/src/main/java/io/foxtaildoor/process/node/PlatformServices.java
@@ -1,6 +1,7 @@
 package io.foxtaildoor.process.node;
 
 import io.foxtaildoor.process.operator.OperatorRouter;
+import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 
@@ -23,6 +24,9 @@
   /** Completes when callers have had time to learn that the node stops; called first at a stop. */
   CompletableFuture<Void> announceStop();
 
+  /** Longest time for finishing requests after that. */
+  Duration drainLimit();
+
   /** Completes when what is to be kept is on the platform; called after the last request. */
   CompletableFuture<?> flush();
 
--- a/product/src/main/java/io/foxtaildoor/process/node/StandardServices.java
+++ b/product/src/main/java/io/foxtaildoor/process/node/StandardServices.java
@@ -1,6 +1,7 @@
 package io.foxtaildoor.process.node;
 
 import static io.foxtaildoor.process.settings.NodeSettings.ADDRESS;
+import static io.foxtaildoor.process.settings.NodeSettings.DRAIN_TIMEOUT;
 
 import io.foxtaildoor.process.audit.AuditSettings;
 import io.foxtaildoor.process.audit.AuditTrail;
@@ -12,12 +13,16 @@
 import io.foxtaildoor.version.approval.ApprovalEnvironment;
 import io.foxtaildoor.version.approval.ApprovalService;
 import io.foxtaildoor.version.approval.ApprovalSettings;
+import java.time.Duration;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 
 /** A platform with the product's own interface: questionnaires, approval and audit trail. */
 final class StandardServices implements PlatformServices {
+  /** What closes at the bound of the settings needs a moment more. */
+  private static final Duration DRAIN_MARGIN = Duration.ofSeconds(5);
+
   private final NodeContext context;
   private StandardSide side;
   private AuditTrail audit;
@@ -76,6 +81,11 @@
     return CompletableFuture.completedFuture(null);
   }
 
+  @Override
+  public Duration drainLimit() {
+    return context.settings().get(DRAIN_TIMEOUT).plus(DRAIN_MARGIN);
+  }
+
   @Override
   public CompletableFuture<?> flush() {
     return audit.flush();
