--- a/product/src/main/java/io/foxtaildoor/connection/caller/ProblemDocuments.java
+++ b/product/src/main/java/io/foxtaildoor/connection/caller/ProblemDocuments.java
@@ -24,17 +24,8 @@
     this.protocol = protocol;
   }
 
+  /** Makes an answer; a refusal as not run tells the caller when to come back. */
   FullHttpResponse of(ErrorKind kind, Outcome outcome, String detail, String requestId) {
-    return of(kind, outcome, detail, requestId, protocol.retryAfter());
-  }
-
-  /**
-   * Makes an answer.
-   *
-   * @param retryAfter wait that a refusal as not run asks of the caller; zero for none
-   */
-  FullHttpResponse of(
-      ErrorKind kind, Outcome outcome, String detail, String requestId, Duration retryAfter) {
     Problem problem = Problem.of(kind, outcome, detail);
     // Written field by field: bean introspection costs more than the rest of a refusal.
     ObjectNode document =
@@ -60,6 +51,7 @@
         .set(HeaderNames.ERROR, kind.headerValue())
         .set(HeaderNames.OUTCOME, outcome.headerValue())
         .set(protocol.headers().requestId(), requestId);
+    Duration retryAfter = protocol.retryAfter();
     if (kind.status() == HttpResponseStatus.SERVICE_UNAVAILABLE.code() && !retryAfter.isZero()) {
       response.headers().set(HttpHeaderNames.RETRY_AFTER, seconds(retryAfter));
     }
--- a/product/src/main/java/io/foxtaildoor/process/instance/InstanceReports.java
+++ b/product/src/main/java/io/foxtaildoor/process/instance/InstanceReports.java
@@ -4,7 +4,6 @@
 import java.net.InetSocketAddress;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.function.LongSupplier;
 
 /**
  * Decides on the reports of the instance beside this node: which of them is news, and when the
@@ -29,25 +28,17 @@
   private final InetSocketAddress address;
   private final Upstream upstream;
   private final LeavingLog leavingLog;
-  private final LongSupplier clock;
   private final CompletableFuture<Void> recovered;
   private Incarnation present;
   private long lastSequence;
-  private long reportedNanos;
   private Incarnation left;
   private CompletableFuture<Boolean> leaving;
 
-  /**
-   * Creates reports of the instance at an address.
-   *
-   * @param clock monotonic nanoseconds
-   */
-  public InstanceReports(
-      InetSocketAddress address, Upstream upstream, LeavingLog leavingLog, LongSupplier clock) {
+  /** Creates reports of the instance at an address. */
+  public InstanceReports(InetSocketAddress address, Upstream upstream, LeavingLog leavingLog) {
     this.address = address;
     this.upstream = upstream;
     this.leavingLog = leavingLog;
-    this.clock = clock;
     this.recovered = leavingLog.read().thenAccept(this::recover);
   }
 
@@ -80,7 +71,6 @@
     }
     present = incarnation;
     lastSequence = report.sequence();
-    reportedNanos = clock.getAsLong();
     if (report.leaving()) {
       return leave(incarnation);
     }
@@ -140,9 +130,4 @@
     }
     return leaving;
   }
-
-  /** Monotonic time of the last report that was news; empty when no instance is in use. */
-  public synchronized Optional<Long> lastReportNanos() {
-    return present == null || present.equals(left) ? Optional.empty() : Optional.of(reportedNanos);
-  }
 }
--- a/product/src/main/java/io/foxtaildoor/process/node/ManagedServices.java
+++ b/product/src/main/java/io/foxtaildoor/process/node/ManagedServices.java
@@ -69,10 +69,7 @@
     InetSocketAddress instance = required(UPSTREAM_ENDPOINT);
     InstanceReports instanceReports =
         new InstanceReports(
-            instance,
-            new ReportedUpstream(upstream),
-            new LeavingLog(side.store(), instance),
-            context.clock());
+            instance, new ReportedUpstream(upstream), new LeavingLog(side.store(), instance));
     OperatorRouter reportsRouter = new OperatorRouter();
     adapter.addReports(reportsRouter, instanceReports);
     reports = new OperatorListener(context.group(), reportsRouter);
--- a/product/src/test/java/io/foxtaildoor/process/instance/InstanceReportsTest.java
+++ b/product/src/test/java/io/foxtaildoor/process/instance/InstanceReportsTest.java
@@ -45,8 +45,7 @@
             return CompletableFuture.completedFuture(null);
           }
         },
-        new LeavingLog(store, ADDRESS),
-        () -> 0);
+        new LeavingLog(store, ADDRESS));
   }
 
   private static InstanceReport report(String id, long started, boolean leaving, long sequence) {
--- a/protocol/src/main/java/io/foxtaildoor/protocol/StreamFailure.java
+++ b/protocol/src/main/java/io/foxtaildoor/protocol/StreamFailure.java
@@ -328,55 +328,6 @@
     arrived_ = false;
   }
 
-  public static final int RETRY_AFTER_MILLIS_FIELD_NUMBER = 7;
-  private int retryAfterMillis_;
-
-  /**
-   *
-   *
-   * <pre>
-   * Wait after which the other node expects room again; 0 when it does not know.
-   * </pre>
-   *
-   * <code>uint32 retry_after_millis = 7;</code>
-   *
-   * @return The retryAfterMillis.
-   */
-  @java.lang.Override
-  public int getRetryAfterMillis() {
-    return retryAfterMillis_;
-  }
-
-  /**
-   *
-   *
-   * <pre>
-   * Wait after which the other node expects room again; 0 when it does not know.
-   * </pre>
-   *
-   * <code>uint32 retry_after_millis = 7;</code>
-   *
-   * @param value The retryAfterMillis to set.
-   */
-  private void setRetryAfterMillis(int value) {
-
-    retryAfterMillis_ = value;
-  }
-
-  /**
-   *
-   *
-   * <pre>
-   * Wait after which the other node expects room again; 0 when it does not know.
-   * </pre>
-   *
-   * <code>uint32 retry_after_millis = 7;</code>
-   */
-  private void clearRetryAfterMillis() {
-
-    retryAfterMillis_ = 0;
-  }
-
   public static io.foxtaildoor.protocol.StreamFailure parseFrom(java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return com.google.protobuf.GeneratedMessageLite.parseFrom(DEFAULT_INSTANCE, data);
@@ -793,57 +744,6 @@
       return this;
     }
 
-    /**
-     *
-     *
-     * <pre>
-     * Wait after which the other node expects room again; 0 when it does not know.
-     * </pre>
-     *
-     * <code>uint32 retry_after_millis = 7;</code>
-     *
-     * @return The retryAfterMillis.
-     */
-    @java.lang.Override
-    public int getRetryAfterMillis() {
-      return instance.getRetryAfterMillis();
-    }
-
-    /**
-     *
-     *
-     * <pre>
-     * Wait after which the other node expects room again; 0 when it does not know.
-     * </pre>
-     *
-     * <code>uint32 retry_after_millis = 7;</code>
-     *
-     * @param value The retryAfterMillis to set.
-     * @return This builder for chaining.
-     */
-    public Builder setRetryAfterMillis(int value) {
-      copyOnWrite();
-      instance.setRetryAfterMillis(value);
-      return this;
-    }
-
-    /**
-     *
-     *
-     * <pre>
-     * Wait after which the other node expects room again; 0 when it does not know.
-     * </pre>
-     *
-     * <code>uint32 retry_after_millis = 7;</code>
-     *
-     * @return This builder for chaining.
-     */
-    public Builder clearRetryAfterMillis() {
-      copyOnWrite();
-      instance.clearRetryAfterMillis();
-      return this;
-    }
-
     // @@protoc_insertion_point(builder_scope:foxtaildoor.StreamFailure)
   }
 
@@ -866,18 +766,11 @@
         {
           java.lang.Object[] objects =
               new java.lang.Object[] {
-                "bitField0_",
-                "stream_",
-                "kind_",
-                "notRun_",
-                "detail_",
-                "load_",
-                "arrived_",
-                "retryAfterMillis_",
+                "bitField0_", "stream_", "kind_", "notRun_", "detail_", "load_", "arrived_",
               };
           java.lang.String info =
-              "\u0000\u0007\u0000\u0001\u0001\u0007\u0007\u0000\u0000\u0000\u0001\u0003\u0002\u0208"
-                  + "\u0003\u0007\u0004\u0208\u0005\u1009\u0000\u0006\u0007\u0007\u000b";
+              "\u0000\u0006\u0000\u0001\u0001\u0006\u0006\u0000\u0000\u0000\u0001\u0003\u0002\u0208"
+                  + "\u0003\u0007\u0004\u0208\u0005\u1009\u0000\u0006\u0007";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
         }
       case GET_DEFAULT_INSTANCE:
--- a/protocol/src/main/java/io/foxtaildoor/protocol/StreamFailureOrBuilder.java
+++ b/protocol/src/main/java/io/foxtaildoor/protocol/StreamFailureOrBuilder.java
@@ -97,17 +97,4 @@
    * @return The arrived.
    */
   boolean getArrived();
-
-  /**
-   *
-   *
-   * <pre>
-   * Wait after which the other node expects room again; 0 when it does not know.
-   * </pre>
-   *
-   * <code>uint32 retry_after_millis = 7;</code>
-   *
-   * @return The retryAfterMillis.
-   */
-  int getRetryAfterMillis();
 }
