Tell first tries from repeated ones by what a refusal makes a caller wait

Cause: callers of one route differ by up to 15% in the time they wait (1,032 and 1,130 of 1,200 ms seen at ntrf), so first tries were taken for repeated ones with most of their objective gone; and lookups of ntrf, whose timeout equals their callers' patience, were taken for calls without a second try, queued up to their deadline and answered at a median of 740 ms, objective 200 ms. Ruled out: the address of a caller, which is the same for callers and instances.

--- a/product/src/main/java/io/foxtaildoor/connection/caller/CallerPatience.java
+++ b/product/src/main/java/io/foxtaildoor/connection/caller/CallerPatience.java
@@ -9,6 +9,12 @@
  * request has less time left, so the difference tells how long ago it began.
  */
 public final class CallerPatience {
+  /**
+   * Part of the longest time by which callers differ at their first try. One that waited as a
+   * refusal asked has lost more.
+   */
+  private static final double FIRST_TRY_SPREAD = 0.2;
+
   private final ConcurrentMap<String, Integer> longestMillis = new ConcurrentHashMap<>();
 
   /**
@@ -19,6 +25,13 @@
     return longestMillis.merge(route, leftMillis, Math::max);
   }
 
+  /** Time since a caller's first try, in milliseconds; 0 when this may be its first try. */
+  static int elapsedMillis(int longestMillis, int leftMillis) {
+    int spread = (int) (longestMillis * FIRST_TRY_SPREAD);
+    int missing = longestMillis - leftMillis;
+    return missing <= spread ? 0 : missing;
+  }
+
   /** Forgets the routes that are no longer in the configuration. */
   public void retainRoutes(Set<String> names) {
     longestMillis.keySet().retainAll(names);
--- a/product/src/main/java/io/foxtaildoor/connection/caller/RequestHeadReader.java
+++ b/product/src/main/java/io/foxtaildoor/connection/caller/RequestHeadReader.java
@@ -193,11 +193,11 @@
     }
     int left = number(headers, protocol.headers().deadlineMillis(), 0);
     int longest = patience.longestMillis(route.name(), left);
-    if (longest <= route.deadline().toMillis()) {
+    if (longest <= protocol.retryAfter().toMillis()) {
       // Such a caller cannot come back after a refusal, so an answer past the objective counts too.
       return OptionalLong.empty();
     }
-    long elapsed = TimeUnit.MILLISECONDS.toNanos(longest - left);
+    long elapsed = TimeUnit.MILLISECONDS.toNanos(CallerPatience.elapsedMillis(longest, left));
     return OptionalLong.of(nowNanos + route.objective().toNanos() - elapsed);
   }
 
--- a/product/src/main/java/io/foxtaildoor/request/admission/AdmissionQueue.java
+++ b/product/src/main/java/io/foxtaildoor/request/admission/AdmissionQueue.java
@@ -18,6 +18,9 @@
   /** Least share that an estimate assumes, so that it stays finite when other ranks use all. */
   private static final double MIN_SHARE = 0.01;
 
+  /** Least part of an objective for which a request may wait in its rank. */
+  private static final double LEAST_ALLOWANCE = 0.25;
+
   private final AdmissionSettings settings;
   private final LimitController controller;
   private final ServiceTimes times = new ServiceTimes();
@@ -88,11 +91,11 @@
     // While nothing runs a request is taken whatever the estimate says: it may be out of date, and
     // only a request that runs corrects it.
     boolean idle = inFlight == 0 && queued == 0;
-    double needed = estimatedWait(ticket, nowNanos) + times.bound(rank);
-    if (!idle && needed > remaining) {
+    double wait = estimatedWait(ticket, nowNanos);
+    if (!idle && wait + times.bound(rank) > remaining) {
       return Admission.refused(ErrorKind.OVERLOADED, "wait would pass the deadline");
     }
-    if (!idle && needed > objectiveNanos - nowNanos) {
+    if (!idle && ticket.hasObjective() && wait > allowance(ticket)) {
       return offerLate(ticket, nowNanos);
     }
     queue.add(ticket);
@@ -100,6 +103,16 @@
     return Admission.queued(ticket);
   }
 
+  /**
+   * Longest wait after which a request still counts as one that meets its objective. A quarter of
+   * the objective is allowed in any case: where the work itself takes longer than the objective, a
+   * request would otherwise lose its rank however short its wait is.
+   */
+  private double allowance(Ticket<T> ticket) {
+    double window = (double) (ticket.objectiveNanos() - ticket.offeredNanos());
+    return Math.max(window - times.usual(ticket.rank()), window * LEAST_ALLOWANCE);
+  }
+
   private Admission<T> offerLate(Ticket<T> ticket, long nowNanos) {
     int limit = controller.current(nowNanos);
     int before = queued - late.size() + late.before(ticket);
@@ -245,14 +258,13 @@
   /** Moves the requests that cannot meet their objective any more behind all others. */
   private void demote(Rank rank, long nowNanos) {
     TreeSet<Ticket<T>> queue = queues.get(rank);
-    double needed = times.mean(rank);
-    while (!queue.isEmpty() && missesObjective(queue.first(), needed, nowNanos)) {
+    while (!queue.isEmpty() && missesObjective(queue.first(), nowNanos)) {
       late.add(queue.pollFirst(), nowNanos);
     }
   }
 
-  private static boolean missesObjective(Ticket<?> ticket, double needed, long nowNanos) {
-    return ticket.hasObjective() && ticket.objectiveNanos() - nowNanos < needed;
+  private boolean missesObjective(Ticket<T> ticket, long nowNanos) {
+    return ticket.hasObjective() && nowNanos - ticket.offeredNanos() > allowance(ticket);
   }
 
   /** Takes a waiting request out of its queue; false when it runs or has ended. */
--- a/product/src/main/java/io/foxtaildoor/request/admission/ServiceTimes.java
+++ b/product/src/main/java/io/foxtaildoor/request/admission/ServiceTimes.java
@@ -55,6 +55,12 @@
     return estimate == null ? overall : estimate.mean;
   }
 
+  /** Time in which most requests of a rank finish. */
+  double usual(Rank rank) {
+    Estimate estimate = byRank.get(rank);
+    return estimate == null ? overall : estimate.mean + estimate.deviation;
+  }
+
   /** Time in which a request of a rank finishes almost certainly; 0 while nothing is known. */
   double bound(Rank rank) {
     Estimate estimate = byRank.get(rank);
--- a/product/src/main/java/io/foxtaildoor/request/admission/Ticket.java
+++ b/product/src/main/java/io/foxtaildoor/request/admission/Ticket.java
@@ -57,6 +57,10 @@
     return objectiveNanos != deadlineNanos;
   }
 
+  long offeredNanos() {
+    return offeredNanos;
+  }
+
   /** Time that the request waited for its slot. */
   public long waitNanos() {
     return startedNanos - offeredNanos;
--- a/product/src/test/java/io/foxtaildoor/request/admission/AdmissionQueueTest.java
+++ b/product/src/test/java/io/foxtaildoor/request/admission/AdmissionQueueTest.java
@@ -113,6 +113,22 @@
       assertEquals(poll(queue, now), Optional.of("missed"));
     }
 
+    /** Guards against work that takes longer than its objective and so always runs last. */
+    @Test
+    public void workLongerThanItsObjectiveKeepsItsRank() {
+      long service = 300 * MILLIS;
+      AdmissionQueue<String> queue = busyQueue(4, service);
+      long deadline = service + 5_000 * MILLIS;
+      queue.offer("low", Rank.LOW, deadline, service + 4_000 * MILLIS, service);
+      queue.configure(new UpstreamLimits(6, Map.of(), 0, 1), service);
+      assertTrue(
+          queue
+              .offer("urgent", Rank.URGENT, deadline, service + 200 * MILLIS, service)
+              .ticket()
+              .isPresent());
+      assertEquals(poll(queue, service), Optional.of("urgent"));
+    }
+
     /** Guards against a request that is held although it will not meet its objective soon. */
     @Test
     public void requestThatMissesItsObjectiveIsRefusedBehindALongQueue() {
