Give the node's name its own type; correct two doc comments

Cause: the setting node.name was read as a data centre id, and two comments did not say what the code does. Ruled out: a change of behaviour, as both ids have the same form. Checked by a build with formatter and linter and by the tests of settings and the command line.

--- a/product/src/main/java/io/foxtaildoor/connection/caller/CallerProtocol.java
+++ b/product/src/main/java/io/foxtaildoor/connection/caller/CallerProtocol.java
@@ -10,8 +10,7 @@
  *
  * @param headers names of the headers
  * @param localCaller service of all callers on this host; empty when each request names its caller
- * @param retryAfter wait that a refusal as not run asks of the caller when nothing better is known;
- *     zero when refusals name no time
+ * @param retryAfter wait that a refusal as not run asks of the caller; zero when it names no time
  */
 public record CallerProtocol(
     HeaderDialect headers, Optional<ServiceId> localCaller, Duration retryAfter) {
--- a/product/src/main/java/io/foxtaildoor/process/node/ManagedSide.java
+++ b/product/src/main/java/io/foxtaildoor/process/node/ManagedSide.java
@@ -33,7 +33,10 @@
    */
   private static final int READERS = 32;
 
-  /** A watch on a connection that went silent is given up this long after its call. */
+  /**
+   * Time for which the platform may hold a watch. One on a connection that went silent is given up
+   * after this and the limit of a call.
+   */
   private static final Duration WATCH_WAIT = Duration.ofSeconds(3);
 
   /** Time between looks at the contacts while the node knows too few others. */
--- a/product/src/main/java/io/foxtaildoor/process/node/Node.java
+++ b/product/src/main/java/io/foxtaildoor/process/node/Node.java
@@ -7,7 +7,6 @@
 import static io.foxtaildoor.process.settings.NodeSettings.OPERATOR_PORT;
 import static io.foxtaildoor.process.settings.NodeSettings.PEER_PORT;
 
-import io.foxtaildoor.common.DataCentreId;
 import io.foxtaildoor.common.NodeId;
 import io.foxtaildoor.common.TaskScheduler;
 import io.foxtaildoor.connection.link.LinkMetrics;
@@ -102,8 +101,11 @@
     }
   }
 
-  private static DataCentreId name(Settings settings) {
-    return settings.get(NODE_NAME).orElseGet(() -> settings.get(DATA_CENTRE));
+  private static String name(Settings settings) {
+    return settings
+        .get(NODE_NAME)
+        .map(NodeId::value)
+        .orElseGet(() -> settings.get(DATA_CENTRE).value());
   }
 
   private static void reportBreach(Invariant invariant, String detail) {
--- a/product/src/main/java/io/foxtaildoor/process/settings/NodeSettings.java
+++ b/product/src/main/java/io/foxtaildoor/process/settings/NodeSettings.java
@@ -14,6 +14,7 @@
 import static io.foxtaildoor.process.settings.SettingTypes.texts;
 
 import io.foxtaildoor.common.DataCentreId;
+import io.foxtaildoor.common.NodeId;
 import io.foxtaildoor.common.RegionId;
 import io.foxtaildoor.common.ServiceId;
 import io.foxtaildoor.request.admission.AdmissionMode;
@@ -62,10 +63,10 @@
   public static final Setting<InetAddress> ADDRESS =
       required("node.address", address(), "address of the host, at which other nodes reach it");
 
-  public static final Setting<Optional<DataCentreId>> NODE_NAME =
+  public static final Setting<Optional<NodeId>> NODE_NAME =
       optional(
           "node.name",
-          SettingTypes.optional(id("node name", DataCentreId::new)),
+          SettingTypes.optional(id("node name", NodeId::new)),
           Optional.empty(),
           "begin of the node's id; the data centre if it is left out");
 
