Log and count retries by service, origin of requests and repeated arrivals

The budget of retries is shared by the fleet. From the logs of all nodes together one could not tell how many requests of clients and how many calls of upstreams a budget rested on, how many retries each node granted, how many nodes it shared the floor with, or how many repeated requests an upstream received. Each node now writes a line for each second in which retries were asked for, and one for repeated requests that it handed over; the same figures are metrics. No decision changes.

--- a/product/src/main/java/io/foxtaildoor/connection/caller/Exchange.java
+++ b/product/src/main/java/io/foxtaildoor/connection/caller/Exchange.java
@@ -59,7 +59,10 @@
   /** Starts the deadline and sends the head. */
   void begin() {
     dependencies.metrics().began();
-    dependencies.retryBudgets().of(head.service(), receivedNanos).requested(receivedNanos);
+    dependencies
+        .retryBudgets()
+        .of(head.service(), receivedNanos)
+        .requested(head.origin(), receivedNanos);
     long remaining = head.deadlineNanos() - now();
     if (remaining <= 0) {
       fail(ErrorKind.EXPIRED, true, "the deadline passed before the request was sent");
@@ -94,7 +97,7 @@
             () -> "request " + head.requestId() + " is sent again after an unknown outcome");
     attempts++;
     Attempt attempt = new Attempt(this, loop, selection, attempts, now);
-    RequestStart start = head.attempt(attempts, body.isPresent(), now);
+    RequestStart start = head.attempt(attempts, arrivals > 0, body.isPresent(), now);
     attempt.opened(dependencies.links().open(selection.node(), start, attempt));
     current = attempt;
     if (attempts == 1) {
--- a/product/src/main/java/io/foxtaildoor/connection/caller/RequestHead.java
+++ b/product/src/main/java/io/foxtaildoor/connection/caller/RequestHead.java
@@ -2,6 +2,7 @@
 
 import io.foxtaildoor.common.ServiceId;
 import io.foxtaildoor.protocol.RequestStart;
+import io.foxtaildoor.request.retry.RequestOrigin;
 import io.foxtaildoor.version.routing.Route;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
@@ -11,6 +12,7 @@
  *
  * @param message what is sent to the other node, without remaining time and attempt
  * @param service the service that this request goes to
+ * @param origin where the request began
  * @param deadlineNanos monotonic time of the deadline
  * @param objectiveNanos monotonic time until which an answer has its full worth, if it is stated
  * @param hasBody whether a body, possibly an empty chunked one, follows
@@ -21,6 +23,7 @@
     RequestStart message,
     Route route,
     ServiceId service,
+    RequestOrigin origin,
     long deadlineNanos,
     OptionalLong objectiveNanos,
     boolean hasBody,
@@ -33,11 +36,16 @@
     return message.getRequestId();
   }
 
-  /** The head of an attempt as it is sent to the other node. */
-  RequestStart attempt(int number, boolean bodyFollows, long nowNanos) {
+  /**
+   * The head of an attempt as it is sent to the other node.
+   *
+   * @param repeated whether an earlier attempt reached an upstream or may have
+   */
+  RequestStart attempt(int number, boolean repeated, boolean bodyFollows, long nowNanos) {
     RequestStart.Builder start =
         RequestStart.newBuilder(message)
             .setAttempt(number)
+            .setRepeated(repeated)
             .setRemainingMicros(
                 Math.max(1, TimeUnit.NANOSECONDS.toMicros(deadlineNanos - nowNanos)))
             .setEnd(!bodyFollows);
--- a/product/src/main/java/io/foxtaildoor/connection/caller/RequestHeadReader.java
+++ b/product/src/main/java/io/foxtaildoor/connection/caller/RequestHeadReader.java
@@ -18,6 +18,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import java.net.InetAddress;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -54,11 +55,16 @@
   /**
    * Reads a head.
    *
+   * @param caller address that the connection comes from
    * @param newId id for a request without one
    * @throws FoxtaildoorException with the kind of the refusal; the request has not run
    */
   RequestHead read(
-      HttpRequest request, HeldConfiguration configuration, String newId, long nowNanos) {
+      HttpRequest request,
+      InetAddress caller,
+      HeldConfiguration configuration,
+      String newId,
+      long nowNanos) {
     checkFraming(request);
     HttpHeaders headers = request.headers();
     RequestTarget target = RequestTarget.of(request.uri(), single(headers, "host"));
@@ -70,8 +76,8 @@
 
     Route route = route(request, configuration, target);
     ServiceId service = route.chooseService(random);
-    String caller = caller(headers);
-    checkCaller(configuration, service, caller);
+    String callingService = callingService(headers);
+    checkCaller(configuration, service, callingService);
     long length = HttpUtil.getContentLength(request, 0L);
     if (length > route.maxBodyBytes()) {
       throw new FoxtaildoorException(
@@ -93,12 +99,14 @@
             .setEnd(!hasBody);
     addHeaders(message, headers, removed);
     if (protocol.localCaller().isPresent()) {
-      message.addHeaders(Header.newBuilder().setName(protocol.headers().caller()).setValue(caller));
+      message.addHeaders(
+          Header.newBuilder().setName(protocol.headers().caller()).setValue(callingService));
     }
     return new RequestHead(
         message.build(),
         route,
         service,
+        protocol.origin(caller, depth),
         nowNanos + allowedNanos(headers, route),
         objectiveNanos(headers, route, nowNanos),
         hasBody,
@@ -151,7 +159,7 @@
   }
 
   /** The calling service; empty for a caller outside the mesh. */
-  private String caller(HttpHeaders headers) {
+  private String callingService(HttpHeaders headers) {
     return protocol
         .localCaller()
         .map(ServiceId::value)
--- a/product/src/main/java/io/foxtaildoor/connection/upstream/Exchange.java
+++ b/product/src/main/java/io/foxtaildoor/connection/upstream/Exchange.java
@@ -172,6 +172,7 @@
   @Override
   public void handedOver() {
     handOvers++;
+    server.metrics().arrived(head.getRepeated());
     server
         .invariants()
         .check(
--- a/product/src/main/java/io/foxtaildoor/connection/upstream/UpstreamMetrics.java
+++ b/product/src/main/java/io/foxtaildoor/connection/upstream/UpstreamMetrics.java
@@ -17,10 +17,14 @@
   private static final String PREFIX = "foxtaildoor.upstream.";
 
   private final MeterRegistry registry;
+  private final Counter first;
+  private final Counter repeated;
   private final Map<Rank, RankMeters> meters = new ConcurrentHashMap<>();
 
   UpstreamMetrics(MeterRegistry registry) {
     this.registry = registry;
+    first = registry.counter(PREFIX + "arrivals", "repeated", "false");
+    repeated = registry.counter(PREFIX + "arrivals", "repeated", "true");
   }
 
   /** Publishes a number for each rank. */
@@ -49,6 +53,20 @@
         .increment();
   }
 
+  /**
+   * Counts a request that was handed over.
+   *
+   * @param again whether an earlier attempt of it reached an upstream or may have
+   */
+  void arrived(boolean again) {
+    (again ? repeated : first).increment();
+  }
+
+  /** Requests that were handed over in their first attempt, and in later ones. */
+  Arrivals arrivals() {
+    return new Arrivals((long) first.count(), (long) repeated.count());
+  }
+
   /** Counts an answer that belonged to no waiting request. */
   void strayAnswer() {
     registry.counter(PREFIX + "stray.answers").increment();
--- a/product/src/main/java/io/foxtaildoor/connection/upstream/UpstreamServer.java
+++ b/product/src/main/java/io/foxtaildoor/connection/upstream/UpstreamServer.java
@@ -375,6 +375,11 @@
     return clock.getAsLong();
   }
 
+  /** Requests that were handed to the upstream since the start. */
+  public Arrivals arrivals() {
+    return metrics.arrivals();
+  }
+
   /** Requests of a rank that wait for a slot. */
   public int queued(Rank rank) {
     return admission.queued(rank);
--- a/product/src/main/java/io/foxtaildoor/process/node/RequestPath.java
+++ b/product/src/main/java/io/foxtaildoor/process/node/RequestPath.java
@@ -20,15 +20,18 @@
 import io.foxtaildoor.connection.link.LocalLinkClient;
 import io.foxtaildoor.connection.link.NettyLinkClient;
 import io.foxtaildoor.connection.upstream.UpstreamServer;
+import io.foxtaildoor.process.membership.FleetView;
 import io.foxtaildoor.process.settings.Settings;
 import io.foxtaildoor.request.admission.ProcessorGuard;
 import io.foxtaildoor.request.balance.UpstreamSelector;
 import io.foxtaildoor.request.idempotency.KeyedRequests;
 import io.foxtaildoor.request.retry.RetryBudgets;
 import io.foxtaildoor.request.retry.RetryPolicy;
+import io.foxtaildoor.version.manifest.HeldConfiguration;
 import io.foxtaildoor.version.routing.Route;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.stream.Collectors;
 
@@ -75,6 +78,8 @@
     ProcessorGuard guard = new ProcessorGuard();
     sampleProcessor(context, guard, context.clock().getAsLong());
     context.registry().gauge("foxtaildoor.processor.delay.ms", guard, ProcessorGuard::delayMillis);
+    RetryBudgets budgets =
+        new RetryBudgets(profile.retries(), () -> profile.retryFloor(control.membership()));
     callers =
         new CallerListener(
             callerSettings(settings),
@@ -88,22 +93,25 @@
                 streams,
                 selector,
                 new RetryPolicy(profile.retries().get()),
-                new RetryBudgets(profile.retries(), () -> profile.retryFloor(control.membership())),
+                budgets,
                 new KeyedRequests(KEYED_REQUESTS),
                 context.invariants(),
                 new CallerMetrics(context.registry()),
                 context.clock(),
                 ThreadLocalRandom::current),
             context.group());
+    logRetries(context, budgets, control.membership());
     control.holder().addListener(callers::configurationApplied);
-    control
-        .holder()
-        .addListener(
-            configuration ->
-                patience.retainRoutes(
-                    configuration.routes().routes().stream()
-                        .map(Route::name)
-                        .collect(Collectors.toSet())));
+    control.holder().addListener(configuration -> patience.retainRoutes(routeNames(configuration)));
+  }
+
+  private void logRetries(NodeContext context, RetryBudgets budgets, FleetView fleet) {
+    new RetryLog(budgets, upstream::arrivals, fleet, context.scheduler(), context.registry())
+        .start();
+  }
+
+  private static Set<String> routeNames(HeldConfiguration configuration) {
+    return configuration.routes().routes().stream().map(Route::name).collect(Collectors.toSet());
   }
 
   /** Samples the delay of the event loop again and again. */
--- a/product/src/main/java/io/foxtaildoor/process/node/RequestProfile.java
+++ b/product/src/main/java/io/foxtaildoor/process/node/RequestProfile.java
@@ -5,6 +5,7 @@
 import static io.foxtaildoor.process.settings.NodeSettings.PLATFORM_BOUNDS;
 import static io.foxtaildoor.process.settings.NodeSettings.RETRY_BUDGET_PERCENT;
 import static io.foxtaildoor.process.settings.NodeSettings.SELECTION;
+import static io.foxtaildoor.process.settings.NodeSettings.UPSTREAM_ENDPOINT;
 import static io.foxtaildoor.process.settings.NodeSettings.UPSTREAM_SERVICE;
 
 import io.foxtaildoor.connection.caller.CallerProtocol;
@@ -17,6 +18,7 @@
 import io.foxtaildoor.process.settings.Settings;
 import io.foxtaildoor.request.balance.BalanceSettings;
 import io.foxtaildoor.request.retry.RetrySettings;
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Function;
@@ -90,7 +92,11 @@
     Supplier<RetrySettings> retries = renewed(bounds, RequestProfile::retrySettings);
     UpstreamSettings upstream = upstreamSettings(settings);
     return new RequestProfile(
-        new CallerProtocol(adapter.headers(), settings.get(UPSTREAM_SERVICE), RETRY_AFTER),
+        new CallerProtocol(
+            adapter.headers(),
+            settings.get(UPSTREAM_SERVICE),
+            settings.get(UPSTREAM_ENDPOINT).map(InetSocketAddress::getAddress),
+            RETRY_AFTER),
         retries,
         fleet ->
             bounds.get().retryFloor() * BUDGET_USE / Math.max(LEAST_NODES, fleet.nodes().size()),
--- /dev/null
+++ b/product/src/main/java/io/foxtaildoor/process/node/RetryLog.java
@@ -0,0 +1,110 @@
+package io.foxtaildoor.process.node;
+
+import io.foxtaildoor.common.ServiceId;
+import io.foxtaildoor.common.TaskScheduler;
+import io.foxtaildoor.connection.upstream.Arrivals;
+import io.foxtaildoor.process.membership.FleetView;
+import io.foxtaildoor.request.retry.RetryBudgets;
+import io.foxtaildoor.request.retry.RetryCounts;
+import io.micrometer.core.instrument.MeterRegistry;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.function.Supplier;
+
+/**
+ * Writes a line for each second in which retries were asked for, and counts them as metrics. The
+ * budget is shared by the fleet, so a breach shows only in the sum over the lines of all nodes.
+ */
+final class RetryLog {
+  private static final Logger LOGGER = System.getLogger(RetryLog.class.getName());
+
+  private static final Duration INTERVAL = Duration.ofSeconds(1);
+
+  private final RetryBudgets budgets;
+  private final Supplier<Arrivals> arrivals;
+  private final FleetView fleet;
+  private final TaskScheduler scheduler;
+  private final MeterRegistry registry;
+  private final Map<ServiceId, RetryCounts> last = new HashMap<>();
+  private Arrivals lastArrivals = new Arrivals(0, 0);
+
+  RetryLog(
+      RetryBudgets budgets,
+      Supplier<Arrivals> arrivals,
+      FleetView fleet,
+      TaskScheduler scheduler,
+      MeterRegistry registry) {
+    this.budgets = budgets;
+    this.arrivals = arrivals;
+    this.fleet = fleet;
+    this.scheduler = scheduler;
+    this.registry = registry;
+  }
+
+  /** Writes lines from now on until the scheduler ends. */
+  void start() {
+    scheduler.schedule(INTERVAL.toNanos(), this::step);
+  }
+
+  private void step() {
+    scheduler.schedule(INTERVAL.toNanos(), this::step);
+    Map<ServiceId, RetryCounts> counts = budgets.counts();
+    last.keySet().retainAll(counts.keySet());
+    counts.forEach(this::log);
+    logArrivals(arrivals.get());
+  }
+
+  private void log(ServiceId service, RetryCounts counts) {
+    RetryCounts before = last.getOrDefault(service, RetryCounts.NONE);
+    if (counts.asked() == before.asked()) {
+      return;
+    }
+    last.put(service, counts);
+    // A service that was dropped and added again counts from 0.
+    RetryCounts added = counts.asked() < before.asked() ? counts : counts.since(before);
+    count("granted", service, added.granted());
+    count("denied", service, added.denied());
+    LOGGER.log(
+        Level.INFO,
+        () ->
+            String.format(
+                Locale.ROOT,
+                "retries to service %s: granted %d, denied %d; since the start: requests of clients"
+                    + " %d, calls of upstreams %d, granted %d, denied %d; nodes known %d",
+                service.value(),
+                added.granted(),
+                added.denied(),
+                counts.fromClients(),
+                counts.fromUpstreams(),
+                counts.granted(),
+                counts.denied(),
+                fleet.nodes().size()));
+  }
+
+  private void count(String outcome, ServiceId service, long retries) {
+    registry
+        .counter("foxtaildoor.retry." + outcome, "service", service.value())
+        .increment((double) retries);
+  }
+
+  private void logArrivals(Arrivals now) {
+    long repeated = now.repeated() - lastArrivals.repeated();
+    if (repeated > 0) {
+      LOGGER.log(
+          Level.INFO,
+          () ->
+              String.format(
+                  Locale.ROOT,
+                  "repeated requests handed to the upstream: %d; since the start: first %d,"
+                      + " repeated %d",
+                  repeated,
+                  now.first(),
+                  now.repeated()));
+    }
+    lastArrivals = now;
+  }
+}
--- a/product/src/main/java/io/foxtaildoor/request/retry/RetryBudget.java
+++ b/product/src/main/java/io/foxtaildoor/request/retry/RetryBudget.java
@@ -10,6 +10,7 @@
   private double requests;
   private double retries;
   private long decayedAtNanos;
+  private RetryCounts counts = RetryCounts.NONE;
 
   /** Creates a budget with an empty window. */
   public RetryBudget(RetrySettings settings, long nowNanos) {
@@ -22,22 +23,30 @@
     this.decayedAtNanos = nowNanos;
   }
 
-  /** Counts a request of a caller; its retries are not counted here. */
-  public synchronized void requested(long nowNanos) {
+  /** Counts a request; its retries are not counted here. */
+  public synchronized void requested(RequestOrigin origin, long nowNanos) {
     decay(nowNanos);
     requests++;
+    counts = counts.plusRequest(origin);
   }
 
   /** Takes one retry from the budget when it is not used up. */
   public synchronized boolean tryRetry(long nowNanos) {
     decay(nowNanos);
     if (retries + 1 > floor.getAsDouble() + settings.get().budgetShare() * requests) {
+      counts = counts.plusDenied();
       return false;
     }
     retries++;
+    counts = counts.plusGranted();
     return true;
   }
 
+  /** What was counted since the creation. */
+  synchronized RetryCounts counts() {
+    return counts;
+  }
+
   private void decay(long nowNanos) {
     long age = nowNanos - decayedAtNanos;
     if (age <= 0) {
--- a/product/src/main/java/io/foxtaildoor/request/retry/RetryBudgets.java
+++ b/product/src/main/java/io/foxtaildoor/request/retry/RetryBudgets.java
@@ -1,6 +1,7 @@
 package io.foxtaildoor.request.retry;
 
 import io.foxtaildoor.common.ServiceId;
+import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.DoubleSupplier;
@@ -35,6 +36,13 @@
     return budgets.computeIfAbsent(service, id -> new RetryBudget(settings, floor, nowNanos));
   }
 
+  /** What was counted for each service since it is known. */
+  public Map<ServiceId, RetryCounts> counts() {
+    Map<ServiceId, RetryCounts> counts = new HashMap<>();
+    budgets.forEach((service, budget) -> counts.put(service, budget.counts()));
+    return counts;
+  }
+
   /** Forgets the services that are no longer in the configuration. */
   public void retainServices(Predicate<ServiceId> known) {
     budgets.keySet().removeIf(known.negate());
--- a/product/src/test/java/io/foxtaildoor/request/retry/RetryPolicyTest.java
+++ b/product/src/test/java/io/foxtaildoor/request/retry/RetryPolicyTest.java
@@ -87,7 +87,7 @@
     RetryBudget budget = new RetryBudget(settings, 0);
     int admitted = 0;
     for (int i = 0; i < 1_000; i++) {
-      budget.requested(0);
+      budget.requested(RequestOrigin.CLIENT, 0);
       admitted += budget.tryRetry(0) ? 1 : 0;
     }
     assertTrue(admitted >= 100 && admitted <= 103, "admitted " + admitted);
--- a/protocol/src/main/java/io/foxtaildoor/protocol/RequestStart.java
+++ b/protocol/src/main/java/io/foxtaildoor/protocol/RequestStart.java
@@ -765,6 +765,55 @@
     hasObjective_ = false;
   }
 
+  public static final int REPEATED_FIELD_NUMBER = 18;
+  private boolean repeated_;
+
+  /**
+   *
+   *
+   * <pre>
+   * Whether an earlier attempt reached an upstream or may have.
+   * </pre>
+   *
+   * <code>bool repeated = 18;</code>
+   *
+   * @return The repeated.
+   */
+  @java.lang.Override
+  public boolean getRepeated() {
+    return repeated_;
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * Whether an earlier attempt reached an upstream or may have.
+   * </pre>
+   *
+   * <code>bool repeated = 18;</code>
+   *
+   * @param value The repeated to set.
+   */
+  private void setRepeated(boolean value) {
+
+    repeated_ = value;
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * Whether an earlier attempt reached an upstream or may have.
+   * </pre>
+   *
+   * <code>bool repeated = 18;</code>
+   */
+  private void clearRepeated() {
+
+    repeated_ = false;
+  }
+
   public static io.foxtaildoor.protocol.RequestStart parseFrom(java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return com.google.protobuf.GeneratedMessageLite.parseFrom(DEFAULT_INSTANCE, data);
@@ -1218,8 +1267,8 @@
     public int getHeadersCount() {
       return instance.getHeadersCount();
     }
-    /** <code>repeated .foxtaildoor.Header headers = 8;</code> */
 
+    /** <code>repeated .foxtaildoor.Header headers = 8;</code> */
     @java.lang.Override
     public io.foxtaildoor.protocol.Header getHeaders(int index) {
       return instance.getHeaders(index);
@@ -1666,6 +1715,57 @@
       return this;
     }
 
+    /**
+     *
+     *
+     * <pre>
+     * Whether an earlier attempt reached an upstream or may have.
+     * </pre>
+     *
+     * <code>bool repeated = 18;</code>
+     *
+     * @return The repeated.
+     */
+    @java.lang.Override
+    public boolean getRepeated() {
+      return instance.getRepeated();
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Whether an earlier attempt reached an upstream or may have.
+     * </pre>
+     *
+     * <code>bool repeated = 18;</code>
+     *
+     * @param value The repeated to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRepeated(boolean value) {
+      copyOnWrite();
+      instance.setRepeated(value);
+      return this;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Whether an earlier attempt reached an upstream or may have.
+     * </pre>
+     *
+     * <code>bool repeated = 18;</code>
+     *
+     * @return This builder for chaining.
+     */
+    public Builder clearRepeated() {
+      copyOnWrite();
+      instance.clearRepeated();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:foxtaildoor.RequestStart)
   }
 
@@ -1706,12 +1806,13 @@
                 "end_",
                 "objectiveMicros_",
                 "hasObjective_",
+                "repeated_",
               };
           java.lang.String info =
-              "\u0000\u0011\u0000\u0000\u0001\u0011\u0011\u0000\u0001\u0000\u0001\u0003\u0002\u0208\u0003\u0208\u0004\u0208\u0005\u0003\u0006\u0208\u0007\u0208\b\u001b"
-                  + "\t\u0007\n"
-                  + "\f\u000b\u0003\f\u000b\r"
-                  + "\u000b\u000e\u0208\u000f\u0007\u0010\u0010\u0011\u0007";
+              "\u0000\u0012\u0000\u0000\u0001\u0012\u0012\u0000\u0001\u0000\u0001\u0003\u0002\u0208"
+                  + "\u0003\u0208\u0004\u0208\u0005\u0003\u0006\u0208\u0007\u0208\b\u001b\t\u0007\n\f"
+                  + "\u000b\u0003\f\u000b\r\u000b\u000e\u0208\u000f\u0007\u0010\u0010\u0011\u0007\u0012"
+                  + "\u0007";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
         }
       case GET_DEFAULT_INSTANCE:
--- a/protocol/src/main/java/io/foxtaildoor/protocol/RequestStartOrBuilder.java
+++ b/protocol/src/main/java/io/foxtaildoor/protocol/RequestStartOrBuilder.java
@@ -192,4 +192,17 @@
    * @return The hasObjective.
    */
   boolean getHasObjective();
+
+  /**
+   *
+   *
+   * <pre>
+   * Whether an earlier attempt reached an upstream or may have.
+   * </pre>
+   *
+   * <code>bool repeated = 18;</code>
+   *
+   * @return The repeated.
+   */
+  boolean getRepeated();
 }
