Add failing tests of the retry budget over a whole fleet

FleetRetryBudgetTest plays many nodes in virtual time and counts repeats over all of them in every window of 10 s.

--- /dev/null
+++ b/product/src/test/java/io/foxtaildoor/package-info.java
@@ -0,0 +1,2 @@
+/** What all tests share. */
+package io.foxtaildoor;
--- /dev/null
+++ b/product/src/test/java/io/foxtaildoor/request/retry/FleetPlay.java
@@ -0,0 +1,174 @@
+package io.foxtaildoor.request.retry;
+
+import io.foxtaildoor.common.ServiceId;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.function.ToDoubleFunction;
+
+/**
+ * Plays the retries of many nodes in virtual time. Clients send to the first service of a chain and
+ * to each later one; every run of a service calls the next one, by a node of the fleet. What
+ * arrives is counted over the whole fleet, as a deployment counts it.
+ */
+final class FleetPlay {
+  static final Duration WINDOW = Duration.ofSeconds(10);
+  static final double SHARE = 0.2;
+  static final double EXTRA = 60;
+
+  private static final int ATTEMPTS = 3;
+  private static final long MILLI = 1_000_000;
+  private static final int SLOT_MILLIS = 100;
+  private static final int WINDOW_SLOTS = (int) (WINDOW.toMillis() / SLOT_MILLIS);
+
+  /**
+   * What is played.
+   *
+   * @param clientsPerSecond requests of clients to each service of the chain
+   * @param callsPerRun calls to the next service that a run makes
+   * @param failures probability by time, in milliseconds, that an arrival at a service fails
+   * @param restartEveryMillis time after which all nodes start again and know only themselves; 0
+   *     for never
+   */
+  record Plan(
+      int nodes,
+      int seconds,
+      List<Double> clientsPerSecond,
+      double callsPerRun,
+      Failures failures,
+      int restartEveryMillis) {}
+
+  /** Probability that an arrival at a service of the chain fails. */
+  @FunctionalInterface
+  interface Failures {
+    double at(int service, int millis);
+  }
+
+  private final Plan plan;
+  private final SplittableRandom random;
+  private final List<RetryBudgets> nodes = new ArrayList<>();
+  private final int[][] requests;
+  private final int[][] repeats;
+  private int now;
+  private int startedMillis;
+
+  FleetPlay(Plan plan, long seed) {
+    this.plan = plan;
+    this.random = new SplittableRandom(seed);
+    int slots = plan.seconds() * 1_000 / SLOT_MILLIS;
+    requests = new int[plan.clientsPerSecond().size()][slots];
+    repeats = new int[plan.clientsPerSecond().size()][slots];
+  }
+
+  /** Plays the plan to its end. */
+  FleetPlay run() {
+    start();
+    for (now = 0; now < plan.seconds() * 1_000; now++) {
+      if (plan.restartEveryMillis() > 0 && now > 0 && now % plan.restartEveryMillis() == 0) {
+        start();
+      }
+      for (int service = 0; service < requests.length; service++) {
+        sendOfClients(service);
+      }
+    }
+    return this;
+  }
+
+  private void start() {
+    startedMillis = now;
+    nodes.clear();
+    for (int i = 0; i < plan.nodes(); i++) {
+      nodes.add(node());
+    }
+  }
+
+  /** A node as the node process assembles it. */
+  private RetryBudgets node() {
+    RetrySettings settings =
+        new RetrySettings(ATTEMPTS + 1, Duration.ofMillis(2), SHARE / 2, 0, WINDOW, true);
+    return new RetryBudgets(() -> settings, () -> EXTRA / 2 / Math.max(4, knownNodes()));
+  }
+
+  /** A fleet that started together finds itself within two seconds. */
+  private int knownNodes() {
+    return now - startedMillis < 2_000 ? 1 : plan.nodes();
+  }
+
+  private void sendOfClients(int service) {
+    double expected = plan.clientsPerSecond().get(service) / 1_000;
+    for (double left = expected; random.nextDouble() < left; left--) {
+      requests[service][now / SLOT_MILLIS]++;
+      send(service, RequestOrigin.CLIENT, false);
+    }
+  }
+
+  /** Sends a request by a random node and repeats it as that node admits. */
+  private void send(int service, RequestOrigin origin, boolean calledByRepeat) {
+    RetryBudgets node = nodes.get(random.nextInt(nodes.size()));
+    ServiceId id = id(service);
+    node.of(id, now * MILLI).requested(origin, now * MILLI);
+    boolean repeat = calledByRepeat;
+    for (int attempt = 1; attempt <= ATTEMPTS; attempt++) {
+      repeats[service][now / SLOT_MILLIS] += repeat ? 1 : 0;
+      callNext(service, repeat);
+      boolean failed = random.nextDouble() < plan.failures().at(service, now);
+      if (!failed || attempt == ATTEMPTS || !node.of(id, now * MILLI).tryRetry(now * MILLI)) {
+        return;
+      }
+      repeat = true;
+    }
+  }
+
+  private void callNext(int service, boolean repeat) {
+    if (service + 1 == requests.length) {
+      return;
+    }
+    for (double left = plan.callsPerRun(); random.nextDouble() < left; left--) {
+      send(service + 1, RequestOrigin.UPSTREAM, repeat);
+    }
+  }
+
+  private static ServiceId id(int service) {
+    return new ServiceId("s" + service);
+  }
+
+  /**
+   * Repeats in the fullest window as a part of what is allowed in it; above 1 the budget is broken.
+   */
+  double fullestWindow(int service) {
+    return mostOf(slot -> sum(repeats[service], slot) / allowed(service, slot));
+  }
+
+  /** Repeats of a service in the fullest window. */
+  double mostRepeats(int service) {
+    return mostOf(slot -> sum(repeats[service], slot));
+  }
+
+  private double mostOf(ToDoubleFunction<Integer> measure) {
+    double most = 0;
+    for (int slot = 0; slot + WINDOW_SLOTS <= requests[0].length; slot++) {
+      most = Math.max(most, measure.applyAsDouble(slot));
+    }
+    return most;
+  }
+
+  /** The requests are those of this window, of the one before or of that half a window before. */
+  private double allowed(int service, int slot) {
+    int most =
+        Math.max(
+            sum(requests[service], slot),
+            Math.max(
+                sum(requests[service], slot - WINDOW_SLOTS / 2),
+                sum(requests[service], slot - WINDOW_SLOTS)));
+    return EXTRA + SHARE * most;
+  }
+
+  private static int sum(int[] counts, int from) {
+    int sum = 0;
+    for (int slot = Math.max(0, from); slot < from + WINDOW_SLOTS; slot++) {
+      sum += counts[slot];
+    }
+    return sum;
+  }
+}
--- /dev/null
+++ b/product/src/test/java/io/foxtaildoor/request/retry/FleetRetryBudgetTest.java
@@ -0,0 +1,79 @@
+package io.foxtaildoor.request.retry;
+
+import static org.testng.Assert.assertTrue;
+
+import io.foxtaildoor.request.retry.FleetPlay.Failures;
+import io.foxtaildoor.request.retry.FleetPlay.Plan;
+import java.util.Arrays;
+import java.util.List;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests that the retries of all nodes together stay within the budget of the fleet. */
+public class FleetRetryBudgetTest {
+  private static final int SECONDS = 60;
+  private static final int NEVER = 0;
+
+  /** Numbers of nodes, with a seed each. */
+  @DataProvider
+  public Object[][] fleets() {
+    return new Object[][] {{3, 1L}, {10, 2L}, {81, 3L}};
+  }
+
+  private static FleetPlay play(Plan plan, long seed) {
+    return new FleetPlay(plan, seed).run();
+  }
+
+  private static Failures failing(int service, double share) {
+    return (other, millis) -> other == service ? share : 0;
+  }
+
+  private static void assertKept(FleetPlay play, int service) {
+    double part = play.fullestWindow(service);
+    assertTrue(part <= 1, "service " + service + " received " + part + " times its budget");
+  }
+
+  /** Guards against repeats of a calling service that exceed the budget of the service called. */
+  @Test(dataProvider = "fleets")
+  public void callsOfRepeatedRunsCountAtTheServiceCalled(int nodes, long seed) {
+    Plan plan = new Plan(nodes, SECONDS, List.of(900.0, 200.0), 1.4, failing(0, 0.5), NEVER);
+    assertKept(play(plan, seed), 1);
+  }
+
+  /** Guards against a budget that grows with the calls of upstreams. */
+  @Test(dataProvider = "fleets")
+  public void callsOfUpstreamsDoNotEnlargeTheBudget(int nodes, long seed) {
+    Plan plan = new Plan(nodes, SECONDS, List.of(900.0, 100.0), 1.4, failing(1, 0.5), NEVER);
+    assertKept(play(plan, seed), 1);
+  }
+
+  /** Guards against a budget that was not used for a while and then admits twice its size. */
+  @Test(dataProvider = "fleets")
+  public void unusedBudgetIsNotSpentTwiceInOneWindow(int nodes, long seed) {
+    Failures late = (service, millis) -> millis < 30_000 ? 0 : 1;
+    Plan plan = new Plan(nodes, SECONDS, List.of(900.0), 0, late, NEVER);
+    FleetPlay play = play(plan, seed);
+    assertKept(play, 0);
+    assertTrue(play.fullestWindow(0) > 0.5, "only " + play.fullestWindow(0) + " was used");
+  }
+
+  /** Guards against nodes that spend the floor anew after each start, or as if they were few. */
+  @Test(dataProvider = "fleets")
+  public void restartedNodesDoNotSpendTheFloorAgain(int nodes, long seed) {
+    Plan plan = new Plan(nodes, SECONDS, List.of(50.0), 0, failing(0, 1), 3_000);
+    assertKept(play(plan, seed), 0);
+  }
+
+  /** Guards against repeats that multiply along a chain of calls. */
+  @Test
+  public void repeatsStayWithinTheBudgetAtAnyDepth() {
+    Double[] clients = new Double[8];
+    Arrays.fill(clients, 20.0);
+    clients[0] = 200.0;
+    Plan plan = new Plan(10, SECONDS, List.of(clients), 1, (service, millis) -> 0.3, NEVER);
+    FleetPlay play = play(plan, 4);
+    for (int service = 0; service < clients.length; service++) {
+      assertKept(play, service);
+    }
+  }
+}
