Write head and body of a held answer in one flush

The answer was held whole and then sent as two frames with a flush each. A link now queues the head and flushes it with the body. The failure of the process test was not reproduced, so this is the likely cause, not a shown one.

--- a/product/src/main/java/io/foxtaildoor/connection/link/AbstractLink.java
+++ b/product/src/main/java/io/foxtaildoor/connection/link/AbstractLink.java
@@ -203,6 +203,16 @@
     write(frame).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
   }
 
+  /** Writes a frame together with the next one that is sent. */
+  final void queue(Frame frame) {
+    context.write(frame).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+  }
+
+  /** Writes what was queued. */
+  final void flush() {
+    context.flush();
+  }
+
   /** Writes a frame and gives the outcome of the write to the socket. */
   final ChannelFuture write(Frame frame) {
     return context.writeAndFlush(frame);
--- a/product/src/main/java/io/foxtaildoor/connection/link/ResponseStream.java
+++ b/product/src/main/java/io/foxtaildoor/connection/link/ResponseStream.java
@@ -13,6 +13,15 @@
   /** Sends a part of the body, which is released. */
   void send(ByteBuf data, boolean end);
 
+  /**
+   * Sends a whole answer, whose body is released. A link writes head and body together, so that an
+   * end of the process between them does not cut a small answer.
+   */
+  default void answer(ResponseStart head, ByteBuf body) {
+    start(head);
+    send(body, true);
+  }
+
   /** Ends the stream without a whole answer; the stream id is set here. */
   void fail(StreamFailure failure);
 
--- a/product/src/main/java/io/foxtaildoor/connection/link/ServerStream.java
+++ b/product/src/main/java/io/foxtaildoor/connection/link/ServerStream.java
@@ -70,21 +70,37 @@
   }
 
   @Override
-  public void send(ByteBuf data, boolean end) {
+  public void answer(ResponseStart head, ByteBuf whole) {
     onLoop(
         () -> {
-          if (finished || !started) {
-            data.release();
-          } else if (!body.add(data, end)) {
-            link.reply(failure(LinkFailures.overflow()));
-            cancelled("response body is sent faster than it is taken");
-            finish();
-          } else {
-            drain();
+          if (finished || started) {
+            whole.release();
+            return;
           }
+          started = true;
+          link.queue(Frame.newBuilder().setResponseStart(named(head)).build());
+          sendOnLoop(whole, true);
+          link.flush();
         });
   }
 
+  @Override
+  public void send(ByteBuf data, boolean end) {
+    onLoop(() -> sendOnLoop(data, end));
+  }
+
+  private void sendOnLoop(ByteBuf data, boolean end) {
+    if (finished || !started) {
+      data.release();
+    } else if (!body.add(data, end)) {
+      link.reply(failure(LinkFailures.overflow()));
+      cancelled("response body is sent faster than it is taken");
+      finish();
+    } else {
+      drain();
+    }
+  }
+
   /** Sends what the window and the link admit. */
   void drain() {
     if (finished) {
--- a/product/src/main/java/io/foxtaildoor/connection/upstream/HeldAnswer.java
+++ b/product/src/main/java/io/foxtaildoor/connection/upstream/HeldAnswer.java
@@ -33,19 +33,27 @@
 
   /** Takes a part of the body, which stays owned by the caller. */
   void add(ByteBuf data, boolean end) {
-    if (!passing && (end || body.readableBytes() + data.readableBytes() > limit)) {
+    if (!passing && end) {
+      passing = true;
+      response.answer(head, body.isReadable() ? hold(data) : data.retainedDuplicate());
+      return;
+    }
+    if (!passing && body.readableBytes() + data.readableBytes() > limit) {
       pass();
     }
     if (passing) {
       send(data, end);
     } else if (data.isReadable()) {
-      if (body.capacity() == 0) {
-        body = Unpooled.buffer(data.readableBytes());
-      }
-      body.writeBytes(data, data.readerIndex(), data.readableBytes());
+      body = hold(data);
     }
   }
 
+  /** The held body with another part. */
+  private ByteBuf hold(ByteBuf data) {
+    ByteBuf joined = body.capacity() == 0 ? Unpooled.buffer(data.readableBytes()) : body;
+    return joined.writeBytes(data, data.readerIndex(), data.readableBytes());
+  }
+
   private void pass() {
     passing = true;
     response.start(head);
