--- a/product/src/main/java/io/foxtaildoor/connection/upstream/Exchange.java
+++ b/product/src/main/java/io/foxtaildoor/connection/upstream/Exchange.java
@@ -136,6 +136,11 @@
     }
   }
 
+  /** Probability that the request is a repeat; a node that states an impossible one is bounded. */
+  private double repeatShare() {
+    return Math.max(0, Math.min(PERMILLE, head.getRepeatPermille())) / (double) PERMILLE;
+  }
+
   /** The request holds a slot. */
   void run(UpstreamPool newPool) {
     pool = newPool;
@@ -174,7 +179,7 @@
   @Override
   public void handedOver() {
     handOvers++;
-    server.metrics().arrived(head.getRepeatPermille() == PERMILLE);
+    server.metrics().arrived(repeatShare() == 1);
     server
         .invariants()
         .check(
@@ -428,7 +433,7 @@
 
   private void leave(Completion completion) {
     if (handOvers > 0 && !refusedByUpstream) {
-      server.ran(head, (double) head.getRepeatPermille() / PERMILLE);
+      server.ran(head, repeatShare());
     }
     if (timer != null) {
       timer.cancel(false);
--- a/product/src/test/java/io/foxtaildoor/connection/upstream/UpstreamServerTest.java
+++ b/product/src/test/java/io/foxtaildoor/connection/upstream/UpstreamServerTest.java
@@ -17,6 +17,7 @@
 import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
@@ -92,6 +93,20 @@
     };
   }
 
+  /** Guards against a node that states an impossible probability and empties all budgets. */
+  @Test
+  public void statedProbabilityOfARepeatIsBounded() throws Exception {
+    try (ScriptedUpstream upstream = new ScriptedUpstream(to -> serve(to, OK))) {
+      fixture.attach(upstream.address());
+      for (int permille : new int[] {250, 1_000, 5_000, -1}) {
+        UpstreamFixture.Call call =
+            fixture.call(UpstreamFixture.head("GET", true).setRepeatPermille(permille));
+        assertEquals(UpstreamFixture.await(call.body), "ok");
+      }
+      assertEquals(fixture.runs, List.of(0.25, 1.0, 1.0, 0.0));
+    }
+  }
+
   /** Guards against answers with the wrong body, and reuse of a connection that must close. */
   @Test(dataProvider = "answers")
   public void passesAnswersOn(
