--- a/product/src/main/java/io/foxtaildoor/connection/caller/RequestHead.java
+++ b/product/src/main/java/io/foxtaildoor/connection/caller/RequestHead.java
@@ -44,7 +44,7 @@
     RequestStart.Builder start =
         RequestStart.newBuilder(message)
             .setAttempt(number)
-            .setRepeatPermille((int) Math.ceil(repeatShare * PERMILLE))
+            .setRepeatPermille((int) (repeatShare * PERMILLE))
             .setRemainingMicros(
                 Math.max(1, TimeUnit.NANOSECONDS.toMicros(deadlineNanos - nowNanos)))
             .setEnd(!bodyFollows);
