Wait for the connections to the platform at the stop of a node

A thread dump showed the cause: the pool closes its connections on a thread that all of Netty shares and waits there without a limit for the event loop. When that loop had ended first, the wait never ended, and the end of the loops is reported on the same thread, so EventLoops.stop hung too. A node that stops could hang in the same way until it is killed. The client now waits for the close before the loops are stopped. Without the wait, a run of HttpPlatformClientAnswersTest.closeWaitsForItsConnections did not end, as its event loop stayed blocked; the test now releases it in any case.

--- a/product/src/main/java/io/foxtaildoor/process/platform/Endpoint.java
+++ b/product/src/main/java/io/foxtaildoor/process/platform/Endpoint.java
@@ -30,6 +30,9 @@
 
   private static final int MAX_WAITING_CALLS = 256;
 
+  /** Only bounds the stop of a process whose event loop hangs. */
+  private static final long CLOSE_LIMIT_MILLIS = 1_000;
+
   private final URI uri;
   private final FixedChannelPool pool;
   private final LongSupplier clock;
@@ -110,9 +113,13 @@
     return message;
   }
 
+  /**
+   * Closes the connections and waits for it, since the pool blocks a thread that all of Netty
+   * shares for ever when their event loop ends first; must not be called on an event loop.
+   */
   @Override
   public void close() {
-    pool.closeAsync();
+    pool.closeAsync().awaitUninterruptibly(CLOSE_LIMIT_MILLIS);
   }
 
   private static final class Pipeline extends AbstractChannelPoolHandler {
--- a/product/src/test/java/io/foxtaildoor/process/platform/HttpPlatformClientAnswersTest.java
+++ b/product/src/test/java/io/foxtaildoor/process/platform/HttpPlatformClientAnswersTest.java
@@ -5,6 +5,7 @@
 import static io.foxtaildoor.process.platform.HttpPlatformClientTest.await;
 import static io.foxtaildoor.process.platform.HttpPlatformClientTest.done;
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
 import static org.testng.Assert.assertTrue;
 
 import io.netty.channel.EventLoopGroup;
@@ -25,6 +26,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
@@ -127,6 +129,22 @@
     };
   }
 
+  /** Guards against a stop that hangs because the event loop ends before the connections close. */
+  @Test
+  public void closeWaitsForItsConnections() throws Exception {
+    script.add(answer(ok(GOOD)));
+    assertEquals(done(client.get("k")).revision(), 1);
+    CompletableFuture<Void> released = new CompletableFuture<>();
+    group.execute(released::join);
+    CompletableFuture<Void> closing = CompletableFuture.runAsync(client::close);
+    try {
+      assertThrows(TimeoutException.class, () -> closing.get(100, TimeUnit.MILLISECONDS));
+    } finally {
+      released.complete(null);
+    }
+    closing.get(1, TimeUnit.MINUTES);
+  }
+
   /** Guards against a truncated or garbage answer that is taken for a result. */
   @Test(dataProvider = "malformed")
   public void malformedAnswerTellsNothing(Object exchange) {
