Spread a retry budget over its window, so that calls of repeated runs find room

Of the retries to inventory, 404 were granted in the first 4 s, before the calls: these are charged when they come and cannot be refused, so they came on top of a budget that was already spent.

Now a budget admits in each tenth of the window only its share of the requests of that time, what is charged included, and the probability that a call is a repeat follows the latest runs instead of the whole window. A node with few requests may still make one retry in each part. 0.8 of the share are used.

FleetRetryBudgetTest.suddenFailuresLeaveRoomForCallsOfRepeatedRuns lets all services of a chain fail at once after a calm time.

--- a/product/src/main/java/io/foxtaildoor/process/node/RequestProfile.java
+++ b/product/src/main/java/io/foxtaildoor/process/node/RequestProfile.java
@@ -40,7 +40,7 @@
    * Part of the fleet's retry budget that is used; the rest covers repeats that arrive later than
    * they were sent, and the error of the calls that repeated runs are charged.
    */
-  private static final double BUDGET_USE = 0.9;
+  private static final double BUDGET_USE = 0.8;
 
   /**
    * Part of the retries that need no requests. They do not grow with the requests, so along a chain
--- a/product/src/main/java/io/foxtaildoor/request/retry/RetryBudget.java
+++ b/product/src/main/java/io/foxtaildoor/request/retry/RetryBudget.java
@@ -6,19 +6,33 @@
  * Retry budget of one service at one node over a sliding window; safe for use by several threads.
  */
 final class RetryBudget {
+  /**
+   * Parts of a window over which a budget is spread. Calls of repeated runs follow their retries
+   * and cannot be refused, so retries that use up a whole window at once leave no room for them.
+   */
+  static final int PARTS = 10;
+
   /** Rounding error of sums of fractional charges. */
   private static final double TOLERANCE = 1e-9;
 
   private Duration window;
   private SlidingSum requests;
   private SlidingSum spent;
+  private SlidingSum lateRequests;
+  private SlidingSum lateSpent;
   private RetryCounts counts = RetryCounts.NONE;
 
   /** Creates a budget with an empty window. */
   RetryBudget(Duration window, long nowNanos) {
-    this.window = window;
+    reset(window, nowNanos);
+  }
+
+  private void reset(Duration newWindow, long nowNanos) {
+    window = newWindow;
     requests = new SlidingSum(window, nowNanos);
     spent = new SlidingSum(window, nowNanos);
+    lateRequests = new SlidingSum(window.dividedBy(PARTS), nowNanos);
+    lateSpent = new SlidingSum(window.dividedBy(PARTS), nowNanos);
   }
 
   /**
@@ -28,6 +42,7 @@
    */
   synchronized void requested(double repeatShare, long nowNanos) {
     requests.add(1 - repeatShare, nowNanos);
+    lateRequests.add(1 - repeatShare, nowNanos);
     counts = counts.plusRequest();
   }
 
@@ -38,32 +53,40 @@
 
   /** Charges repeats that are not decided here, whether or not the budget has room for them. */
   synchronized void charge(double repeats, long nowNanos) {
-    spent.add(repeats, nowNanos);
+    spend(repeats, nowNanos);
     counts = counts.plusCharged(repeats);
   }
 
   /** Takes one retry when the budget has room for it. */
   synchronized boolean tryRetry(double floor, RetrySettings settings, long nowNanos) {
     resize(settings.budgetWindow(), nowNanos);
-    double allowed = floor + settings.budgetShare() * requests.atMost(nowNanos);
-    if (spent.atLeast(nowNanos) + 1 > allowed + TOLERANCE) {
+    double share = settings.budgetShare();
+    boolean room =
+        spent.atLeast(nowNanos) + 1 <= floor + share * requests.atMost(nowNanos) + TOLERANCE;
+    double late = lateSpent.atLeast(nowNanos);
+    // A node with few requests may still make one retry in each part.
+    boolean paced = late < TOLERANCE || late + 1 <= floor + share * lateRequests.atLeast(nowNanos);
+    if (!room || !paced) {
       counts = counts.plusDenied();
       return false;
     }
-    spent.add(1, nowNanos);
+    spend(1, nowNanos);
     counts = counts.plusGranted();
     return true;
   }
 
+  private void spend(double repeats, long nowNanos) {
+    spent.add(repeats, nowNanos);
+    lateSpent.add(repeats, nowNanos);
+  }
+
   /** After a change of the window, what was spent counts as spent now and requests count anew. */
   private void resize(Duration newWindow, long nowNanos) {
     if (newWindow.equals(window)) {
       return;
     }
     double before = spent.atLeast(nowNanos);
-    window = newWindow;
-    requests = new SlidingSum(window, nowNanos);
-    spent = new SlidingSum(window, nowNanos);
+    reset(newWindow, nowNanos);
     spent.add(before, nowNanos);
   }
 
--- a/product/src/main/java/io/foxtaildoor/request/retry/UpstreamRuns.java
+++ b/product/src/main/java/io/foxtaildoor/request/retry/UpstreamRuns.java
@@ -6,12 +6,17 @@
 final class UpstreamRuns {
   private final SlidingSum repeatable;
   private final SlidingSum others;
-  private final SlidingSum repeated;
+  private final SlidingSum lateRepeatable;
+  private final SlidingSum lateOthers;
+  private final SlidingSum lateRepeated;
 
   UpstreamRuns(Duration window, long nowNanos) {
+    Duration late = window.dividedBy(RetryBudget.PARTS);
     repeatable = new SlidingSum(window, nowNanos);
     others = new SlidingSum(window, nowNanos);
-    repeated = new SlidingSum(window, nowNanos);
+    lateRepeatable = new SlidingSum(late, nowNanos);
+    lateOthers = new SlidingSum(late, nowNanos);
+    lateRepeated = new SlidingSum(late, nowNanos);
   }
 
   /**
@@ -21,20 +26,27 @@
    */
   synchronized void add(double repeatShare, boolean idempotent, long nowNanos) {
     (idempotent ? repeatable : others).add(1, nowNanos);
-    repeated.add(repeatShare, nowNanos);
+    (idempotent ? lateRepeatable : lateOthers).add(1, nowNanos);
+    lateRepeated.add(repeatShare, nowNanos);
   }
 
-  /** Part of the runs that are repeats, from 0 to 1. */
+  /** Part of the latest runs that are repeats, from 0 to 1; calls follow them closely. */
   synchronized double repeatShare(long nowNanos) {
-    double share = repeated.atLeast(nowNanos);
-    return share == 0 ? 0 : Math.min(1, share / callers(nowNanos));
+    double repeats = lateRepeated.atLeast(nowNanos);
+    double runs = callers(lateRepeatable, lateOthers, nowNanos);
+    return repeats <= 0 ? 0 : Math.min(1, repeats / runs);
+  }
+
+  /** Runs of the window that its calls are put down to. */
+  synchronized double callers(long nowNanos) {
+    return callers(repeatable, others, nowNanos);
   }
 
   /**
-   * Runs that calls are put down to. Which run makes a call is not known, so all calls are taken to
-   * come from the runs that are repeated most: the idempotent ones, if there are any.
+   * Which run makes a call is not known, so all calls are taken to come from the runs that are
+   * repeated most: the idempotent ones, if there are any.
    */
-  synchronized double callers(long nowNanos) {
+  private static double callers(SlidingSum repeatable, SlidingSum others, long nowNanos) {
     double idempotent = repeatable.atLeast(nowNanos);
     return Math.max(1, idempotent > 0 ? idempotent : others.atLeast(nowNanos));
   }
--- a/product/src/test/java/io/foxtaildoor/request/retry/FleetPlay.java
+++ b/product/src/test/java/io/foxtaildoor/request/retry/FleetPlay.java
@@ -19,7 +19,7 @@
   static final double EXTRA = 60;
 
   /** Parts of the budget that nodes use. */
-  private static final double BUDGET_USE = 0.9;
+  private static final double BUDGET_USE = 0.8;
 
   private static final double FLOOR_USE = 0.25;
 
--- a/product/src/test/java/io/foxtaildoor/request/retry/FleetRetryBudgetTest.java
+++ b/product/src/test/java/io/foxtaildoor/request/retry/FleetRetryBudgetTest.java
@@ -20,6 +20,17 @@
     return new Object[][] {{3, 1L}, {10, 2L}, {81, 3L}};
   }
 
+  /** Numbers of nodes, requests of clients to each service of a chain, and a seed. */
+  @DataProvider
+  public Object[][] chains() {
+    return new Object[][] {
+      {3, new Double[] {900.0, 200.0}, 1L},
+      {10, new Double[] {900.0, 200.0}, 2L},
+      {81, new Double[] {900.0, 200.0}, 3L},
+      {10, new Double[] {400.0, 100.0, 100.0, 100.0}, 4L},
+    };
+  }
+
   private static FleetPlay play(Plan plan, long seed) {
     return new FleetPlay(plan, seed).run();
   }
@@ -58,6 +69,18 @@
     assertTrue(play.fullestWindow(0) > 0.5, "only " + play.fullestWindow(0) + " was used");
   }
 
+  /** Guards against retries that use up a window at once, before the calls that others cause. */
+  @Test(dataProvider = "chains")
+  public void suddenFailuresLeaveRoomForCallsOfRepeatedRuns(
+      int nodes, Double[] clients, long seed) {
+    Failures late = (service, millis) -> millis < 30_000 ? 0 : 0.6;
+    Plan plan = new Plan(nodes, SECONDS, List.of(clients), 1.4, late, NEVER);
+    FleetPlay play = play(plan, seed);
+    for (int service = 0; service < clients.length; service++) {
+      assertKept(play, service);
+    }
+  }
+
   /** Guards against nodes that spend the floor anew after each start, or as if they were few. */
   @Test(dataProvider = "fleets")
   public void restartedNodesDoNotSpendTheFloorAgain(int nodes, long seed) {
