--- a/product/src/main/java/io/foxtaildoor/request/retry/RetryBudget.java
+++ b/product/src/main/java/io/foxtaildoor/request/retry/RetryBudget.java
@@ -18,8 +18,8 @@
   private Duration window;
   private SlidingSum requests;
   private SlidingSum spent;
-  private SlidingSum lateRequests;
-  private SlidingSum lateSpent;
+  private SlidingSum recentRequests;
+  private SlidingSum recentSpent;
   private RetryCounts counts = RetryCounts.NONE;
 
   /** Creates a budget with an empty window. */
@@ -31,8 +31,8 @@
     window = newWindow;
     requests = new SlidingSum(window, nowNanos);
     spent = new SlidingSum(window, nowNanos);
-    lateRequests = new SlidingSum(window.dividedBy(PARTS), nowNanos);
-    lateSpent = new SlidingSum(window.dividedBy(PARTS), nowNanos);
+    recentRequests = new SlidingSum(window.dividedBy(PARTS), nowNanos);
+    recentSpent = new SlidingSum(window.dividedBy(PARTS), nowNanos);
   }
 
   /**
@@ -42,7 +42,7 @@
    */
   synchronized void requested(double repeatShare, long nowNanos) {
     requests.add(1 - repeatShare, nowNanos);
-    lateRequests.add(1 - repeatShare, nowNanos);
+    recentRequests.add(1 - repeatShare, nowNanos);
     counts = counts.plusRequest();
   }
 
@@ -61,12 +61,7 @@
   synchronized boolean tryRetry(double floor, RetrySettings settings, long nowNanos) {
     resize(settings.budgetWindow(), nowNanos);
     double share = settings.budgetShare();
-    boolean room =
-        spent.atLeast(nowNanos) + 1 <= floor + share * requests.atMost(nowNanos) + TOLERANCE;
-    double late = lateSpent.atLeast(nowNanos);
-    // A node with few requests may still make one retry in each part.
-    boolean paced = late < TOLERANCE || late + 1 <= floor + share * lateRequests.atLeast(nowNanos);
-    if (!room || !paced) {
+    if (!hasRoom(floor, share, nowNanos) || !isPaced(floor, share, nowNanos)) {
       counts = counts.plusDenied();
       return false;
     }
@@ -75,9 +70,23 @@
     return true;
   }
 
+  private boolean hasRoom(double floor, double share, long nowNanos) {
+    double allowed = floor + share * requests.atMost(nowNanos);
+    return spent.atLeast(nowNanos) + 1 <= allowed + TOLERANCE;
+  }
+
+  /**
+   * Whether the latest part of the window has room; a node with few requests may make one retry.
+   */
+  private boolean isPaced(double floor, double share, long nowNanos) {
+    double recent = recentSpent.atLeast(nowNanos);
+    double allowed = floor + share * recentRequests.atLeast(nowNanos);
+    return recent < TOLERANCE || recent + 1 <= allowed;
+  }
+
   private void spend(double repeats, long nowNanos) {
     spent.add(repeats, nowNanos);
-    lateSpent.add(repeats, nowNanos);
+    recentSpent.add(repeats, nowNanos);
   }
 
   /** After a change of the window, what was spent counts as spent now and requests count anew. */
--- a/product/src/main/java/io/foxtaildoor/request/retry/UpstreamRuns.java
+++ b/product/src/main/java/io/foxtaildoor/request/retry/UpstreamRuns.java
@@ -6,17 +6,17 @@
 final class UpstreamRuns {
   private final SlidingSum repeatable;
   private final SlidingSum others;
-  private final SlidingSum lateRepeatable;
-  private final SlidingSum lateOthers;
-  private final SlidingSum lateRepeated;
+  private final SlidingSum recentRepeatable;
+  private final SlidingSum recentOthers;
+  private final SlidingSum recentRepeated;
 
   UpstreamRuns(Duration window, long nowNanos) {
-    Duration late = window.dividedBy(RetryBudget.PARTS);
+    Duration part = window.dividedBy(RetryBudget.PARTS);
     repeatable = new SlidingSum(window, nowNanos);
     others = new SlidingSum(window, nowNanos);
-    lateRepeatable = new SlidingSum(late, nowNanos);
-    lateOthers = new SlidingSum(late, nowNanos);
-    lateRepeated = new SlidingSum(late, nowNanos);
+    recentRepeatable = new SlidingSum(part, nowNanos);
+    recentOthers = new SlidingSum(part, nowNanos);
+    recentRepeated = new SlidingSum(part, nowNanos);
   }
 
   /**
@@ -26,14 +26,14 @@
    */
   synchronized void add(double repeatShare, boolean idempotent, long nowNanos) {
     (idempotent ? repeatable : others).add(1, nowNanos);
-    (idempotent ? lateRepeatable : lateOthers).add(1, nowNanos);
-    lateRepeated.add(repeatShare, nowNanos);
+    (idempotent ? recentRepeatable : recentOthers).add(1, nowNanos);
+    recentRepeated.add(repeatShare, nowNanos);
   }
 
   /** Part of the latest runs that are repeats, from 0 to 1; calls follow them closely. */
   synchronized double repeatShare(long nowNanos) {
-    double repeats = lateRepeated.atLeast(nowNanos);
-    double runs = callers(lateRepeatable, lateOthers, nowNanos);
+    double repeats = recentRepeated.atLeast(nowNanos);
+    double runs = callers(recentRepeatable, recentOthers, nowNanos);
     return repeats <= 0 ? 0 : Math.min(1, repeats / runs);
   }
 
