Charge only requests that a run of the upstream can have made

Cause: nodes beside bookings charged 1,030 repeats to inventory where 382 repeated runs make 1.4 calls each, at most 535, because stock audits of clients counted as possible calls. The budget of inventory was used up by this, and 1,511 retries of calls were denied, so lookups failed and were repeated as a whole.

A call expires at the deadline of its run at the latest, so a request whose deadline is later than that of every run of the upstream is one of a client. It is now left out of the charge and carries no probability of a repeat. RetryBudgetsTest.requestThatOutlastsAllRunsIsNotACall fails without it.

--- a/product/src/main/java/io/foxtaildoor/connection/caller/Exchange.java
+++ b/product/src/main/java/io/foxtaildoor/connection/caller/Exchange.java
@@ -65,7 +65,9 @@
   void begin() {
     dependencies.metrics().began();
     repeatShare =
-        dependencies.retryBudgets().requested(head.service(), localService(), receivedNanos);
+        dependencies
+            .retryBudgets()
+            .requested(head.service(), localService(), head.deadlineNanos(), receivedNanos);
     long remaining = head.deadlineNanos() - now();
     if (remaining <= 0) {
       fail(ErrorKind.EXPIRED, true, "the deadline passed before the request was sent");
--- a/product/src/main/java/io/foxtaildoor/connection/upstream/Exchange.java
+++ b/product/src/main/java/io/foxtaildoor/connection/upstream/Exchange.java
@@ -180,6 +180,7 @@
   public void handedOver() {
     handOvers++;
     server.metrics().arrived(repeatShare() == 1);
+    server.began(deadlineNanos);
     server
         .invariants()
         .check(
--- a/product/src/main/java/io/foxtaildoor/connection/upstream/RunListener.java
+++ b/product/src/main/java/io/foxtaildoor/connection/upstream/RunListener.java
@@ -3,8 +3,10 @@
 import io.foxtaildoor.common.ServiceId;
 
 /** Hears of the runs of the local upstream. */
-@FunctionalInterface
 public interface RunListener {
+  /** A run begins, with its deadline in monotonic time. */
+  void began(long deadlineNanos);
+
   /**
    * A run ended.
    *
--- a/product/src/main/java/io/foxtaildoor/connection/upstream/UpstreamServer.java
+++ b/product/src/main/java/io/foxtaildoor/connection/upstream/UpstreamServer.java
@@ -299,6 +299,11 @@
     }
   }
 
+  /** The upstream was given a request. */
+  void began(long deadlineNanos) {
+    runs.began(deadlineNanos);
+  }
+
   /** The upstream was given a request and did not refuse it as not run. */
   void ran(RequestStart head, double repeatShare) {
     runs.ran(new ServiceId(head.getService()), repeatShare, head.getIdempotent(), now());
--- a/product/src/main/java/io/foxtaildoor/process/node/RequestPath.java
+++ b/product/src/main/java/io/foxtaildoor/process/node/RequestPath.java
@@ -9,6 +9,7 @@
 import static io.foxtaildoor.process.settings.NodeSettings.MAX_CALLER_CONNECTIONS;
 import static io.foxtaildoor.process.settings.NodeSettings.REGION;
 
+import io.foxtaildoor.common.ServiceId;
 import io.foxtaildoor.connection.caller.CallerDependencies;
 import io.foxtaildoor.connection.caller.CallerListener;
 import io.foxtaildoor.connection.caller.CallerMetrics;
@@ -19,6 +20,7 @@
 import io.foxtaildoor.connection.link.LinkMetrics;
 import io.foxtaildoor.connection.link.LocalLinkClient;
 import io.foxtaildoor.connection.link.NettyLinkClient;
+import io.foxtaildoor.connection.upstream.RunListener;
 import io.foxtaildoor.connection.upstream.UpstreamServer;
 import io.foxtaildoor.process.membership.FleetView;
 import io.foxtaildoor.process.settings.Settings;
@@ -71,7 +73,7 @@
             service -> control.holder().current().routes().service(service),
             context.invariants(),
             context.registry(),
-            budgets::ran,
+            new CountedRuns(budgets),
             context.clock());
     LinkClient streams = new LocalLinkClient(context.nodeId(), upstream, links, context.group());
     UpstreamSelector selector =
@@ -105,6 +107,19 @@
     control.holder().addListener(configuration -> patience.retainRoutes(routeNames(configuration)));
   }
 
+  /** Tells the retry budgets of the runs of the local upstream. */
+  private record CountedRuns(RetryBudgets budgets) implements RunListener {
+    @Override
+    public void began(long deadlineNanos) {
+      budgets.began(deadlineNanos);
+    }
+
+    @Override
+    public void ran(ServiceId service, double repeatShare, boolean idempotent, long nowNanos) {
+      budgets.ran(service, repeatShare, idempotent, nowNanos);
+    }
+  }
+
   private static RetryBudgets retryBudgets(
       NodeContext context, FleetView fleet, RequestProfile profile) {
     return new RetryBudgets(
--- a/product/src/main/java/io/foxtaildoor/request/retry/RetryBudget.java
+++ b/product/src/main/java/io/foxtaildoor/request/retry/RetryBudget.java
@@ -17,6 +17,7 @@
 
   private Duration window;
   private SlidingSum requests;
+  private SlidingSum possibleCalls;
   private SlidingSum spent;
   private SlidingSum recentRequests;
   private SlidingSum recentSpent;
@@ -30,6 +31,7 @@
   private void reset(Duration newWindow, long nowNanos) {
     window = newWindow;
     requests = new SlidingSum(window, nowNanos);
+    possibleCalls = new SlidingSum(window, nowNanos);
     spent = new SlidingSum(window, nowNanos);
     recentRequests = new SlidingSum(window.dividedBy(PARTS), nowNanos);
     recentSpent = new SlidingSum(window.dividedBy(PARTS), nowNanos);
@@ -38,17 +40,21 @@
   /**
    * Counts a request.
    *
+   * @param mayBeCall whether the upstream on this host may have made it
    * @param repeatShare probability that it is a call made by a repeated run, which is a repeat too
    */
-  synchronized void requested(double repeatShare, long nowNanos) {
+  synchronized void requested(boolean mayBeCall, double repeatShare, long nowNanos) {
     requests.add(1 - repeatShare, nowNanos);
     recentRequests.add(1 - repeatShare, nowNanos);
+    if (mayBeCall) {
+      possibleCalls.add(1, nowNanos);
+    }
     counts = counts.plusRequest();
   }
 
-  /** Requests in the window. */
-  synchronized double requests(long nowNanos) {
-    return requests.atLeast(nowNanos);
+  /** Requests in the window that the upstream on this host may have made. */
+  synchronized double possibleCalls(long nowNanos) {
+    return possibleCalls.atLeast(nowNanos);
   }
 
   /** Charges repeats that are not decided here, whether or not the budget has room for them. */
--- a/product/src/main/java/io/foxtaildoor/request/retry/RetryBudgets.java
+++ b/product/src/main/java/io/foxtaildoor/request/retry/RetryBudgets.java
@@ -47,13 +47,16 @@
    * Counts a request that this node is going to send; its retries are not counted here.
    *
    * @param local service of the upstream on this host, which may have made the request
+   * @param deadlineNanos monotonic time of the request's deadline
    * @return probability that the request is a call of a repeated run, from 0 to 1
    */
-  public double requested(ServiceId service, Optional<ServiceId> local, long nowNanos) {
+  public double requested(
+      ServiceId service, Optional<ServiceId> local, long deadlineNanos, long nowNanos) {
     // Services are taken not to call themselves; most requests to the own service are of clients.
-    boolean called = local.isPresent() && !local.get().equals(service);
-    double repeatShare = called ? runs.repeatShare(nowNanos) : 0;
-    of(service, nowNanos).requested(repeatShare, nowNanos);
+    boolean other = local.isPresent() && !local.get().equals(service);
+    boolean mayBeCall = other && runs.mayCall(deadlineNanos);
+    double repeatShare = mayBeCall ? runs.repeatShare(nowNanos) : 0;
+    of(service, nowNanos).requested(mayBeCall, repeatShare, nowNanos);
     return repeatShare;
   }
 
@@ -62,6 +65,11 @@
     return of(service, nowNanos).tryRetry(floor.applyAsDouble(nowNanos), settings.get(), nowNanos);
   }
 
+  /** Takes the deadline of a run of the local upstream that begins. */
+  public void began(long deadlineNanos) {
+    runs.began(deadlineNanos);
+  }
+
   /**
    * Counts a run of the local upstream at its end.
    *
@@ -75,7 +83,7 @@
       budgets.forEach(
           (called, budget) -> {
             if (!called.equals(service)) {
-              double callsPerRun = budget.requests(nowNanos) / callers;
+              double callsPerRun = budget.possibleCalls(nowNanos) / callers;
               budget.charge(repeatShare * callsPerRun, nowNanos);
             }
           });
--- a/product/src/main/java/io/foxtaildoor/request/retry/UpstreamRuns.java
+++ b/product/src/main/java/io/foxtaildoor/request/retry/UpstreamRuns.java
@@ -1,14 +1,19 @@
 package io.foxtaildoor.request.retry;
 
 import java.time.Duration;
+import java.util.OptionalLong;
 
 /** Runs of the local upstream in the latest window; safe for use by several threads. */
 final class UpstreamRuns {
+  /** Time by which a call may outlast the run that makes it, for what is on the way. */
+  private static final long DEADLINE_SLACK_NANOS = 100_000_000;
+
   private final SlidingSum repeatable;
   private final SlidingSum others;
   private final SlidingSum recentRepeatable;
   private final SlidingSum recentOthers;
   private final SlidingSum recentRepeated;
+  private OptionalLong latestDeadlineNanos = OptionalLong.empty();
 
   UpstreamRuns(Duration window, long nowNanos) {
     Duration part = window.dividedBy(RetryBudget.PARTS);
@@ -30,6 +35,18 @@
     recentRepeated.add(repeatShare, nowNanos);
   }
 
+  /** Takes the deadline of a run that begins. */
+  synchronized void began(long deadlineNanos) {
+    long latest = latestDeadlineNanos.orElse(deadlineNanos);
+    latestDeadlineNanos = OptionalLong.of(latest - deadlineNanos > 0 ? latest : deadlineNanos);
+  }
+
+  /** Whether a run may make a request; calls expire at the deadline of their run at the latest. */
+  synchronized boolean mayCall(long requestDeadlineNanos) {
+    return latestDeadlineNanos.isPresent()
+        && requestDeadlineNanos - latestDeadlineNanos.getAsLong() <= DEADLINE_SLACK_NANOS;
+  }
+
   /** Part of the latest runs that are repeats, from 0 to 1; calls follow them closely. */
   synchronized double repeatShare(long nowNanos) {
     double repeats = recentRepeated.atLeast(nowNanos);
--- a/product/src/test/java/io/foxtaildoor/connection/upstream/UpstreamFixture.java
+++ b/product/src/test/java/io/foxtaildoor/connection/upstream/UpstreamFixture.java
@@ -81,7 +81,7 @@
             id -> Optional.ofNullable(service).filter(held -> held.id().equals(id)),
             invariants,
             new SimpleMeterRegistry(),
-            (ran, repeatShare, idempotent, now) -> runs.add(repeatShare),
+            new Runs(),
             System::nanoTime);
   }
 
@@ -110,6 +110,16 @@
     return call;
   }
 
+  private final class Runs implements RunListener {
+    @Override
+    public void began(long deadlineNanos) {}
+
+    @Override
+    public void ran(ServiceId ran, double repeatShare, boolean idempotent, long nowNanos) {
+      runs.add(repeatShare);
+    }
+  }
+
   /** Keeps every event loop from running anything until a latch opens. */
   void blockLoops(CountDownLatch latch) {
     for (EventExecutor loop : group) {
--- a/product/src/test/java/io/foxtaildoor/request/retry/FleetPlay.java
+++ b/product/src/test/java/io/foxtaildoor/request/retry/FleetPlay.java
@@ -120,7 +120,8 @@
     RetryBudgets node = nodes.get(sender);
     long nanos = now * MILLI;
     requests[service][now / SLOT_MILLIS] += calledByRepeat ? 0 : 1;
-    double share = node.requested(id(service), Optional.of(id(served(sender))), nanos);
+    // Clients wait for as long as any run, so no request is known to be no call.
+    double share = node.requested(id(service), Optional.of(id(served(sender))), nanos, nanos);
     boolean repeat = calledByRepeat;
     for (int attempt = 1; attempt <= ATTEMPTS; attempt++) {
       run(service, repeat, share);
@@ -137,6 +138,7 @@
   private void run(int service, boolean repeat, double share) {
     repeats[service][now / SLOT_MILLIS] += repeat ? 1 : 0;
     int beside = host(service);
+    nodes.get(beside).began(now * MILLI);
     if (service + 1 < requests.length) {
       for (double left = plan.callsPerRun(); random.nextDouble() < left; left--) {
         send(beside, service + 1, repeat);
--- a/product/src/test/java/io/foxtaildoor/request/retry/RetryBudgetTest.java
+++ b/product/src/test/java/io/foxtaildoor/request/retry/RetryBudgetTest.java
@@ -34,7 +34,7 @@
     int most = 0;
     for (long millis = 0; millis < 60_000; millis++) {
       long now = millis * MILLI;
-      budget.requested(0, now);
+      budget.requested(false, 0, now);
       boolean failing = millis >= 30_000;
       while (failing && tryRetry(budget, now)) {
         retries.addLast(now);
@@ -66,7 +66,7 @@
   @Test
   public void anyClockReadingIsTaken() {
     RetryBudget budget = new RetryBudget(WINDOW, -6 * WINDOW.toNanos());
-    budget.requested(0, -5 * WINDOW.toNanos());
+    budget.requested(false, 0, -5 * WINDOW.toNanos());
     assertTrue(tryRetry(budget, -4 * WINDOW.toNanos()));
     assertTrue(tryRetry(budget, 1_000 * WINDOW.toNanos()));
   }
--- a/product/src/test/java/io/foxtaildoor/request/retry/RetryBudgetsTest.java
+++ b/product/src/test/java/io/foxtaildoor/request/retry/RetryBudgetsTest.java
@@ -15,6 +15,7 @@
   private static final ServiceId FRONT = new ServiceId("front");
   private static final ServiceId CALLED = new ServiceId("called");
   private static final double DELTA = 0.001;
+  private static final long RUN_DEADLINE = 1_000_000_000;
 
   private RetryBudgets budgets;
 
@@ -23,10 +24,11 @@
     RetrySettings settings =
         new RetrySettings(3, Duration.ofMillis(2), 0.2, 0, Duration.ofSeconds(10), true);
     budgets = new RetryBudgets(settings, 0);
+    budgets.began(RUN_DEADLINE);
   }
 
   private double request(ServiceId service) {
-    return budgets.requested(service, Optional.of(FRONT), 0);
+    return budgets.requested(service, Optional.of(FRONT), RUN_DEADLINE, 0);
   }
 
   private void run(double repeatShare, boolean idempotent) {
@@ -73,6 +75,16 @@
     assertEquals(request(FRONT), 0, DELTA);
   }
 
+  /** Guards against requests of clients that are charged as calls of the local upstream. */
+  @Test
+  public void requestThatOutlastsAllRunsIsNotACall() {
+    run(1, true);
+    long later = RUN_DEADLINE + Duration.ofMillis(200).toNanos();
+    assertEquals(budgets.requested(CALLED, Optional.of(FRONT), later, 0), 0, DELTA);
+    run(1, true);
+    assertEquals(budgets.counts().get(CALLED).charged(), 0, DELTA);
+  }
+
   /** Guards against services that stay in memory after they have left the configuration. */
   @Test
   public void forgetsServices() {
--- a/product/src/test/java/io/foxtaildoor/request/retry/RetryPolicyTest.java
+++ b/product/src/test/java/io/foxtaildoor/request/retry/RetryPolicyTest.java
@@ -87,7 +87,7 @@
     RetryBudget budget = new RetryBudget(settings.budgetWindow(), 0);
     int admitted = 0;
     for (int i = 0; i < 1_000; i++) {
-      budget.requested(0, 0);
+      budget.requested(false, 0, 0);
       admitted += budget.tryRetry(3, settings, 0) ? 1 : 0;
     }
     assertTrue(admitted >= 100 && admitted <= 103, "admitted " + admitted);
