Spread retry budgets only where calls of repeated runs count as retries

On the product's own platform refusals are paid from the budget, and when an instance leaves many are refused at once; spread over tenths of the window the budget had no room for them. There upstreams tell the depth of their calls and failed runs of calls are not repeated, so the spread is now a setting of the managed platform. RetryBudgetTest.budgetThatIsNotSpreadAdmitsItsWindowAtOnce keeps it so.

--- a/product/src/main/java/io/foxtaildoor/process/node/RequestProfile.java
+++ b/product/src/main/java/io/foxtaildoor/process/node/RequestProfile.java
@@ -146,7 +146,8 @@
         budgetPercent / 100.0,
         standard.budgetFloor(),
         standard.budgetWindow(),
-        standard.refusalsAreFree());
+        standard.refusalsAreFree(),
+        standard.isSpread());
   }
 
   private static RetrySettings retrySettings(DeploymentBounds bounds) {
@@ -156,6 +157,7 @@
         bounds.retryShare() * BUDGET_USE,
         0,
         bounds.retryWindow(),
+        true,
         true);
   }
 
--- a/product/src/main/java/io/foxtaildoor/request/retry/RetryBudget.java
+++ b/product/src/main/java/io/foxtaildoor/request/retry/RetryBudget.java
@@ -67,7 +67,8 @@
   synchronized boolean tryRetry(double floor, RetrySettings settings, long nowNanos) {
     resize(settings.budgetWindow(), nowNanos);
     double share = settings.budgetShare();
-    if (!hasRoom(floor, share, nowNanos) || !isPaced(floor, share, nowNanos)) {
+    boolean paced = !settings.isSpread() || isPaced(floor, share, nowNanos);
+    if (!paced || !hasRoom(floor, share, nowNanos)) {
       counts = counts.plusDenied();
       return false;
     }
--- a/product/src/main/java/io/foxtaildoor/request/retry/RetrySettings.java
+++ b/product/src/main/java/io/foxtaildoor/request/retry/RetrySettings.java
@@ -12,6 +12,8 @@
  * @param refusalsAreFree whether a request that reached no upstream yet is sent again without the
  *     budget
  * @param budgetWindow sliding window in which requests and retries are counted
+ * @param isSpread whether a budget is spread over its window; needed where calls of repeated runs
+ *     count as retries, since they follow later and cannot be refused
  */
 public record RetrySettings(
     int maxAttempts,
@@ -19,9 +21,10 @@
     double budgetShare,
     double budgetFloor,
     Duration budgetWindow,
-    boolean refusalsAreFree) {
+    boolean refusalsAreFree,
+    boolean isSpread) {
   /** The values of the design page. */
   public static RetrySettings defaults() {
-    return new RetrySettings(3, Duration.ofMillis(2), 0.1, 3, Duration.ofSeconds(10), false);
+    return new RetrySettings(3, Duration.ofMillis(2), 0.1, 3, Duration.ofSeconds(10), false, false);
   }
 }
--- a/product/src/test/java/io/foxtaildoor/request/retry/FleetPlay.java
+++ b/product/src/test/java/io/foxtaildoor/request/retry/FleetPlay.java
@@ -93,7 +93,8 @@
   private RetryBudgets node() {
     long started = now * MILLI;
     RetrySettings settings =
-        new RetrySettings(ATTEMPTS + 1, Duration.ofMillis(2), SHARE * BUDGET_USE, 0, WINDOW, true);
+        new RetrySettings(
+            ATTEMPTS + 1, Duration.ofMillis(2), SHARE * BUDGET_USE, 0, WINDOW, true, true);
     FloorShare floor = new FloorShare(started);
     return new RetryBudgets(
         () -> settings, nanos -> floor.of(EXTRA * FLOOR_USE, knownNodes(), WINDOW, nanos), started);
--- a/product/src/test/java/io/foxtaildoor/request/retry/RetryBudgetTest.java
+++ b/product/src/test/java/io/foxtaildoor/request/retry/RetryBudgetTest.java
@@ -16,7 +16,7 @@
   private static final double SHARE = 0.1;
   private static final int FLOOR = 28;
   private static final RetrySettings SETTINGS =
-      new RetrySettings(3, Duration.ofMillis(2), SHARE, FLOOR, WINDOW, true);
+      new RetrySettings(3, Duration.ofMillis(2), SHARE, FLOOR, WINDOW, true, true);
 
   private static RetryBudget budget() {
     return new RetryBudget(WINDOW, 0);
@@ -62,6 +62,22 @@
     assertTrue(tryRetry(budget, 2 * WINDOW.toNanos()));
   }
 
+  /** Guards against a sudden need, as when an instance leaves, that a whole unused window meets. */
+  @Test
+  public void budgetThatIsNotSpreadAdmitsItsWindowAtOnce() {
+    RetrySettings whole = new RetrySettings(3, Duration.ofMillis(2), SHARE, 0, WINDOW, true, false);
+    RetryBudget budget = budget();
+    for (long millis = 0; millis < 10_000; millis++) {
+      budget.requested(false, 0, millis * MILLI);
+    }
+    long now = WINDOW.toNanos() - MILLI;
+    int taken = 0;
+    while (budget.tryRetry(0, whole, now)) {
+      taken++;
+    }
+    assertTrue(taken >= 0.9 * SHARE * 10_000, "only " + taken + " retries");
+  }
+
   /** Guards against a clock that begins below zero or stands still for long. */
   @Test
   public void anyClockReadingIsTaken() {
@@ -79,7 +95,7 @@
       assertFalse(budget.counts().granted() > FLOOR);
     }
     RetrySettings shorter =
-        new RetrySettings(3, Duration.ofMillis(2), SHARE, FLOOR, Duration.ofSeconds(5), true);
+        new RetrySettings(3, Duration.ofMillis(2), SHARE, FLOOR, Duration.ofSeconds(5), true, true);
     assertFalse(budget.tryRetry(FLOOR, shorter, 2 * WINDOW.toNanos() / 5));
   }
 
--- a/product/src/test/java/io/foxtaildoor/request/retry/RetryBudgetsTest.java
+++ b/product/src/test/java/io/foxtaildoor/request/retry/RetryBudgetsTest.java
@@ -22,7 +22,7 @@
   @BeforeMethod
   public void create() {
     RetrySettings settings =
-        new RetrySettings(3, Duration.ofMillis(2), 0.2, 0, Duration.ofSeconds(10), true);
+        new RetrySettings(3, Duration.ofMillis(2), 0.2, 0, Duration.ofSeconds(10), true, false);
     budgets = new RetryBudgets(settings, 0);
     budgets.began(RUN_DEADLINE);
   }
