--- a/product/src/test/java/io/foxtaildoor/request/retry/FleetRetryBudgetTest.java
+++ b/product/src/test/java/io/foxtaildoor/request/retry/FleetRetryBudgetTest.java
@@ -28,6 +28,7 @@
       {10, new Double[] {900.0, 200.0}, 2L},
       {81, new Double[] {900.0, 200.0}, 3L},
       {10, new Double[] {400.0, 100.0, 100.0, 100.0}, 4L},
+      {16, new Double[] {200.0, 20.0, 20.0, 20.0, 20.0, 20.0, 20.0, 20.0}, 5L},
     };
   }
 
