--- a/experiments/src/main/java/io/foxtaildoor/experiments/ChildProcess.java
+++ b/experiments/src/main/java/io/foxtaildoor/experiments/ChildProcess.java
@@ -28,8 +28,19 @@
   static ChildProcess start(
       List<String> command, Map<String, String> environment, Path log, Path portFile)
       throws IOException {
+    return start(command, environment, log, portFile, Path.of("").toAbsolutePath());
+  }
+
+  /** Starts a process in a working directory. */
+  static ChildProcess start(
+      List<String> command,
+      Map<String, String> environment,
+      Path log,
+      Path portFile,
+      Path workingDirectory)
+      throws IOException {
     Files.deleteIfExists(portFile);
-    ProcessBuilder builder = new ProcessBuilder(command);
+    ProcessBuilder builder = new ProcessBuilder(command).directory(workingDirectory.toFile());
     builder.environment().putAll(environment);
     builder
         .redirectErrorStream(true)
--- a/experiments/src/main/java/io/foxtaildoor/experiments/Main.java
+++ b/experiments/src/main/java/io/foxtaildoor/experiments/Main.java
@@ -12,6 +12,7 @@
       new TreeMap<>(
           Map.of(
               "added-latency", new AddedLatencyExperiment(),
+              "cold", new ColdExperiment(),
               "convergence", new ConvergenceExperiment(),
               "fleet", new FleetExperiment(),
               "cost", new CostExperiment(),
--- a/experiments/src/main/java/io/foxtaildoor/experiments/Options.java
+++ b/experiments/src/main/java/io/foxtaildoor/experiments/Options.java
@@ -23,6 +23,9 @@
   @Option(name = "--output", usage = "directory to which the JSON report is written")
   Path output = Path.of("target/experiments");
 
+  @Option(name = "--baseline", usage = "checkout of another build to measure beside this one")
+  Path baseline;
+
   @Option(name = "--max-nodes", usage = "largest number of nodes, up to 100")
   int maxNodes = 100;
 
