Refuse connections as soon as the platform stand-in reports the fault

Cause: the kernel goes on accepting connections after the listener was closed until the event loop has polled its selector, and resets them then; the stand-in reported the fault before that. Ruled out: a fault of the client, which reported the reset truly.

--- a/standins/src/main/java/io/foxtaildoor/standins/platform/PlatformStandIn.java
+++ b/standins/src/main/java/io/foxtaildoor/standins/platform/PlatformStandIn.java
@@ -46,6 +46,9 @@
   private static final long CONNECTION_DRAIN_MILLIS = 100;
   private static final long STOP_TIMEOUT_MILLIS = 2_000;
 
+  /** Any delay greater than zero makes the event loop poll its selector before it runs a task. */
+  private static final long POLL_DELAY_MILLIS = 1;
+
   private final EventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   private final ChannelGroup connections = new DefaultChannelGroup(group.next());
@@ -163,8 +166,8 @@
           .close()
           .addListener(
               closed -> {
-                continuation.run();
                 connections.close();
+                runAfterNextPoll(continuation);
               });
     } else if (previous == Faults.OutageMode.REFUSED) {
       bind(address, connections)
@@ -178,6 +181,14 @@
     }
   }
 
+  /**
+   * Runs an action once the event loop has polled its selector. A closed listener accepts
+   * connections until then and resets them later.
+   */
+  private void runAfterNextPoll(Runnable action) {
+    var unused = group.next().schedule(action, POLL_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
   /** Command-line options of the platform stand-in. */
   private static final class Options {
     @Option(name = "--address", usage = "address to listen on")
--- /dev/null
+++ b/standins/src/test/java/io/foxtaildoor/standins/platform/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the platform stand-in. */
+package io.foxtaildoor.standins.platform;
