Move keyed requests that a leaving instance refused to another one

Callers saw a 503 (leaving, not run) during a planned stop, for a request with an idempotency key that reached its instance after the drain had begun and before the departure was known. Cause: a keyed request never changed its instance, although a refusal as leaving means that nothing ran, and later requests with the key go to the next instance anyway. The key is released now and bound to the next instance. It stays bound while another request with it is in flight or has an unknown outcome. ExchangeTest.KeyedRequestsOfLeavingInstances: refusedRequestMovesToAnotherInstance fails without the change ("no stream was opened"), requestThatMayHaveRunStays passes before and after.

--- a/product/src/main/java/io/foxtaildoor/connection/caller/Exchange.java
+++ b/product/src/main/java/io/foxtaildoor/connection/caller/Exchange.java
@@ -337,6 +337,9 @@
       return;
     }
     mayHaveRun |= !notRun;
+    if (kind == ErrorKind.LEAVING && !mayHaveRun) {
+      instanceSelector.releaseKeyOfLeavingInstance(now());
+    }
     if (instanceSelector.hasUntriedInstance() && shouldRetry(attempt, kind, notRun)) {
       long now = now();
       dependencies.requestLog().logRetry(logContext(now), kind, notRun, detail, now);
--- a/product/src/main/java/io/foxtaildoor/connection/caller/InstanceSelector.java
+++ b/product/src/main/java/io/foxtaildoor/connection/caller/InstanceSelector.java
@@ -21,6 +21,7 @@
   private final ServiceId service;
   private final Set<NodeId> tried = new HashSet<>();
   private boolean keyRegistered;
+  private boolean keyReleased;
 
   InstanceSelector(CallerDependencies dependencies, RequestHead head) {
     this.dependencies = dependencies;
@@ -32,11 +33,24 @@
   boolean hasUntriedInstance() {
     // A request with an idempotency key stays on its instance. Another instance does not know the
     // key and could execute a later retry a second time.
-    return !head.usesIdempotencyKey()
+    return (!head.usesIdempotencyKey() || keyReleased)
         && dependencies.fleet().upstreams(service).stream()
             .anyMatch(node -> !tried.contains(node.id()));
   }
 
+  /**
+   * Releases the idempotency key of a request that its instance refused because it is leaving, so
+   * that the request may move to the instance to which later requests with the key go. The key
+   * stays bound while another request with it is in flight or has an unknown outcome.
+   */
+  void releaseKeyOfLeavingInstance(long nowNanos) {
+    if (keyRegistered) {
+      recordEnding(Ending.NOT_RUN, nowNanos);
+      String key = head.message().getIdempotencyKey();
+      keyReleased = dependencies.keyedRequests().destination(service, key, nowNanos).isEmpty();
+    }
+  }
+
   /**
    * Selects the instance for the next attempt.
    *
@@ -70,7 +84,7 @@
     RendezvousOrder order = new RendezvousOrder(service.value(), key);
     NodeId preferred =
         previousNode
-            .or(() -> order.first(candidates, NodeRecord::id).map(NodeRecord::id))
+            .or(() -> order.first(untried(candidates), NodeRecord::id).map(NodeRecord::id))
             .orElseThrow(this::noUpstream);
     NodeId target =
         dependencies
@@ -94,6 +108,10 @@
     return selection.get();
   }
 
+  private List<NodeRecord> untried(List<NodeRecord> candidates) {
+    return candidates.stream().filter(node -> !tried.contains(node.id())).toList();
+  }
+
   private Urgency urgency(long nowNanos) {
     boolean missesObjective =
         head.objectiveNanos().isPresent() && head.objectiveNanos().getAsLong() - nowNanos <= 0;
--- a/product/src/test/java/io/foxtaildoor/connection/caller/ExchangeTest.java
+++ b/product/src/test/java/io/foxtaildoor/connection/caller/ExchangeTest.java
@@ -1,6 +1,7 @@
 package io.foxtaildoor.connection.caller;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotEquals;
 import static org.testng.Assert.assertThrows;
 import static org.testng.Assert.assertTrue;
 
@@ -294,6 +295,36 @@
     }
   }
 
+  /** Tests requests with an idempotency key whose instance is leaving. */
+  public static final class KeyedRequestsOfLeavingInstances extends CallerTestBase {
+    private static final String KEYED = postRequestHead("/book", "Idempotency-Key: k2\r\n", 0);
+
+    /** Guards against a planned stop of an instance that fails requests with a key. */
+    @Test
+    public void refusedRequestMovesToAnotherInstance() throws Exception {
+      caller.send(KEYED);
+      FakeLinkClient.Stream leaving = fixture.linkClient.nextStream();
+      leaving.fail(ErrorKind.LEAVING, true);
+      FakeLinkClient.Stream next = fixture.linkClient.nextStream();
+      assertNotEquals(next.target, leaving.target);
+      assertEquals(next.head.getIdempotencyKey(), "k2");
+      next.sendResponse("ok");
+      assertEquals(caller.readResponse().body(), "ok");
+    }
+
+    /** Guards against a second execution of a request that may have run on a leaving instance. */
+    @Test
+    public void requestThatMayHaveRunStays() throws Exception {
+      caller.send(KEYED);
+      fixture.linkClient.nextStream().fail(ErrorKind.OUTCOME_UNKNOWN, false);
+      assertEquals(caller.readResponse().outcome(), "unknown");
+      caller.send(KEYED);
+      fixture.linkClient.nextStream().fail(ErrorKind.LEAVING, true);
+      assertEquals(caller.readResponse().outcome(), "not-run");
+      assertEquals(fixture.linkClient.openedStreams.get(), 2);
+    }
+  }
+
   /** Tests flow control and the graceful shutdown. */
   public static final class FlowControlAndDrain extends CallerTestBase {
     /** Guards against a node that reads more of a request body than the stream accepts. */
