Require the request id in every response of a signing upstream

An upstream that wrote an earlier refusal once more, without an id, while it ran the next request on the kept connection made the node report that request as not run: the caller was told to try again, or the request ran at a second instance. A failure without an id was passed on as the response to whatever request was waiting. Cause: the id was compared only if the response named one; only successes needed it. Now a response that names no request fails with an unknown outcome. SignedResponseTest.copyOfEarlierRefusalDoesNotRefuseTheNextRequest (three refusals) and failureWithoutIdIsNotForwarded fail without the change. Copies that do name the earlier request were dropped before and still are (dropsResponseToAnotherRequest). The stand-in of an instance now echoes the id in a refusal too, as the platform's instances do.

--- a/product/src/main/java/io/foxtaildoor/connection/upstream/ResponseChecks.java
+++ b/product/src/main/java/io/foxtaildoor/connection/upstream/ResponseChecks.java
@@ -2,6 +2,7 @@
 
 import io.foxtaildoor.common.HeaderDialect;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
@@ -27,17 +28,22 @@
   }
 
   /**
-   * Whether a successful response comes from the upstream itself with its body unchanged: in a
-   * dialect with signatures it must be signed, name its request and have no content encoding. Other
-   * responses always pass.
+   * Whether a response comes from the upstream itself as the response to the request. In a dialect
+   * with signatures each response must name its request, since a response without an id may be the
+   * late copy of an earlier one, and a copied refusal would be taken for a refusal of this request.
+   * A successful one must also be signed and have no content encoding. In other dialects every
+   * response passes.
    */
   static boolean isAuthentic(HttpResponse httpResponse, HeaderDialect dialect) {
-    boolean good = httpResponse.status().codeClass() == HttpStatusClass.SUCCESS;
-    if (!dialect.requiresSignature() || !good) {
+    if (!dialect.requiresSignature()) {
       return true;
     }
-    return httpResponse.headers().contains(dialect.signature())
-        && httpResponse.headers().contains(dialect.requestId())
-        && !httpResponse.headers().contains(HttpHeaderNames.CONTENT_ENCODING);
+    HttpHeaders headers = httpResponse.headers();
+    if (!headers.contains(dialect.requestId())) {
+      return false;
+    }
+    return httpResponse.status().codeClass() != HttpStatusClass.SUCCESS
+        || (headers.contains(dialect.signature())
+            && !headers.contains(HttpHeaderNames.CONTENT_ENCODING));
   }
 }
--- a/product/src/test/java/io/foxtaildoor/connection/upstream/SignedResponseTest.java
+++ b/product/src/test/java/io/foxtaildoor/connection/upstream/SignedResponseTest.java
@@ -145,6 +145,44 @@
     assertEquals(fixture.repeatProbabilities, List.of(), "a refused request was counted as run");
   }
 
+  /**
+   * Guards against a faulty upstream that writes an earlier refusal once more, without an id, while
+   * it runs the next request on the connection: the caller would be told that the request did not
+   * run.
+   */
+  @Test(dataProvider = "refusals")
+  public void copyOfEarlierRefusalDoesNotRefuseTheNextRequest(String status, ErrorKind kind)
+      throws IOException {
+    String refusal = "HTTP/1.1 " + status + "\r\nContent-Length: 0\r\n";
+    Call first =
+        call(
+            connection -> {
+              connection.readHead();
+              connection.write(refusal + "X-Id: r\r\n\r\n");
+              connection.readHead();
+              connection.write(refusal + "\r\n");
+              connection.write(response("r", "X-Signature: s\r\n", "Content-Length: 0\r\n\r\n"));
+              connection.readHead();
+            });
+    assertEquals(first.failedWith(true), kind);
+    Call second = fixture.call(requestHead("GET", true));
+    assertEquals(second.failedWith(false), ErrorKind.BAD_UPSTREAM_ANSWER);
+  }
+
+  /** Guards against passing on a failure of another request as that of this one. */
+  @Test
+  public void failureWithoutIdIsNotForwarded() throws IOException {
+    Call call =
+        call(
+            connection -> {
+              connection.readHead();
+              connection.write("HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n");
+              connection.readHead();
+            });
+    assertEquals(call.failedWith(false), ErrorKind.BAD_UPSTREAM_ANSWER);
+    assertEquals(call.head.isDone(), false);
+  }
+
   /** Guards against taking a 503 without the not-run header for a request that was not run. */
   @Test
   public void failureWithoutNotRunHeaderCountsAsRun() throws IOException {
--- a/standins/src/main/java/io/foxtaildoor/standins/managed/ManagedInstance.java
+++ b/standins/src/main/java/io/foxtaildoor/standins/managed/ManagedInstance.java
@@ -62,16 +62,16 @@
   void serve(Channel channel, FullHttpRequest request) {
     HttpHeaders headers = request.headers();
     String target = headers.get("X-Foxtaildoor-Target-Instance", id);
+    String requestId = headers.get(REQUEST_ID, "");
     FullHttpResponse response;
     if (!target.equals(id)) {
       response = response(MISDIRECTED_REQUEST, new byte[0]);
     } else {
-      String requestId = headers.get(REQUEST_ID, "");
       executedRequestIds.add(requestId);
       response = response(200, request.uri().getBytes(StandardCharsets.UTF_8));
-      response.headers().set(REQUEST_ID, requestId);
       response.headers().set("X-Foxtaildoor-Server-Signature", id + "." + requestId);
     }
+    response.headers().set(REQUEST_ID, requestId);
     response.headers().set("X-Foxtaildoor-Instance-Id", id);
     answer(channel, response);
   }
