--- a/product/src/test/java/io/foxtaildoor/connection/upstream/SignedResponseTest.java
+++ b/product/src/test/java/io/foxtaildoor/connection/upstream/SignedResponseTest.java
@@ -13,6 +13,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
@@ -169,6 +170,31 @@
     assertEquals(second.failedWith(false), ErrorKind.BAD_UPSTREAM_ANSWER);
   }
 
+  /**
+   * Guards against a late second copy of a response that is taken for the response to the next
+   * request on the connection. Both requests of the test have the same id.
+   */
+  @Test
+  public void copyBetweenTwoRequestsClosesTheConnection() throws Exception {
+    CountDownLatch copied = new CountDownLatch(1);
+    ScriptedUpstream upstream =
+        new ScriptedUpstream(
+            connection -> {
+              connection.readHead();
+              connection.write(response("r", "X-Signature: s\r\n", "Content-Length: 2\r\n\r\nok"));
+              connection.pause();
+              connection.write(response("r", "X-Signature: s\r\n", "Content-Length: 3\r\n\r\nbad"));
+              connection.pause();
+              copied.countDown();
+              connection.readHead();
+            });
+    fixture.attach(upstream.address());
+    assertEquals(await(fixture.call(requestHead("GET", true)).body), "ok");
+    assertTrue(copied.await(20, TimeUnit.SECONDS));
+    assertEquals(await(fixture.call(requestHead("GET", true)).body), "ok");
+    assertEquals(upstream.connectionCount.get(), 2);
+  }
+
   /** Guards against passing on a failure of another request as that of this one. */
   @Test
   public void failureWithoutIdIsNotForwarded() throws IOException {
