Fail a request whose upstream sends interim responses without end

An upstream that wrote 102 responses, or responses to other requests, without end kept the event loop of the node busy until the deadline of the request. More than 32 of them now fail the request with an unknown outcome and close the connection. SignedResponseTest.endlessHeadIsCutOff: the case of interim responses fails without the change (no end within 20 s); endless status lines, headers and bytes that are no HTTP were cut off before; the case of other responses came with the change.

--- a/product/src/main/java/io/foxtaildoor/connection/upstream/Exchange.java
+++ b/product/src/main/java/io/foxtaildoor/connection/upstream/Exchange.java
@@ -29,6 +29,12 @@
 final class Exchange implements RequestListener, UpstreamConnection.ExchangeListener {
   private static final int PERMILLE = 1_000;
 
+  /**
+   * Number of interim responses and responses to other requests that are skipped. An upstream that
+   * writes them without end would keep the event loop busy until the deadline.
+   */
+  private static final int MAX_SKIPPED_RESPONSES = 32;
+
   private final UpstreamServer server;
   private final RequestStart head;
   private final ResponseStream response;
@@ -59,6 +65,7 @@
   private ResponseFlowControl flowControl;
   private final BufferedResponse bufferedResponse;
   private boolean refusedByUpstream;
+  private int skippedResponses;
   private long lastProgressNanos;
 
   Exchange(UpstreamServer server, RequestStart head, ResponseStream response, long nowNanos) {
@@ -276,6 +283,7 @@
     HeaderDialect dialect = server.settings().headers();
     if (!ResponseChecks.belongsTo(httpResponse, dialect, head.getRequestId())) {
       server.metrics().countStrayResponse();
+      countSkippedResponse();
       return false;
     }
     if (sendCount == 0) {
@@ -290,6 +298,7 @@
       if (httpResponse.status().equals(HttpResponseStatus.CONTINUE)) {
         continueBody();
       }
+      countSkippedResponse();
     } else if (!ResponseChecks.isAuthentic(httpResponse, dialect)) {
       fail(
           ErrorKind.BAD_UPSTREAM_ANSWER,
@@ -311,6 +320,15 @@
     return true;
   }
 
+  private void countSkippedResponse() {
+    skippedResponses++;
+    if (skippedResponses > MAX_SKIPPED_RESPONSES) {
+      fail(
+          ErrorKind.BAD_UPSTREAM_ANSWER,
+          "the upstream sent too many interim responses or responses to other requests");
+    }
+  }
+
   @Override
   public void responseBody(ByteBuf data, boolean end) {
     lastProgressNanos = server.now();
--- a/product/src/test/java/io/foxtaildoor/connection/upstream/SignedResponseTest.java
+++ b/product/src/test/java/io/foxtaildoor/connection/upstream/SignedResponseTest.java
@@ -94,6 +94,45 @@
     assertEquals(call.head.isDone(), false);
   }
 
+  @DataProvider
+  public Object[][] endlessHeads() {
+    return new Object[][] {
+      {"no HTTP", "", "x".repeat(1024)},
+      {"status line", "HTTP/1.1 200 ", "x".repeat(1024)},
+      {"header", "HTTP/1.1 200 OK\r\nX-Long: ", "x".repeat(1024)},
+      {"headers", "HTTP/1.1 200 OK\r\n", "X-More: " + "x".repeat(1016) + "\r\n"},
+      {"interim responses", "", "HTTP/1.1 102 Processing\r\nX-Id: r\r\n\r\n"},
+      {"other responses", "", "HTTP/1.1 200 OK\r\nX-Id: o\r\nContent-Length: 0\r\n\r\n"},
+    };
+  }
+
+  /**
+   * Guards against an upstream that writes a head without end until the connection closes: the node
+   * would use ever more memory, or the request would never end.
+   */
+  @Test(dataProvider = "endlessHeads")
+  public void endlessHeadIsCutOff(String fault, String start, String repeated) throws Exception {
+    CountDownLatch closed = new CountDownLatch(1);
+    Call call =
+        call(
+            connection -> {
+              connection.readHead();
+              try {
+                connection.write(start);
+                while (true) {
+                  connection.write(repeated);
+                }
+              } finally {
+                closed.countDown();
+              }
+            });
+    ErrorKind kind = call.failedWith(false);
+    assertTrue(
+        kind == ErrorKind.BAD_UPSTREAM_ANSWER || kind == ErrorKind.TIMEOUT, fault + " " + kind);
+    assertTrue(closed.await(20, TimeUnit.SECONDS), fault);
+    assertEquals(call.head.isDone(), false);
+  }
+
   /** Guards against taking a reset for the regular end of a response without a length. */
   @Test
   public void resetDuringResponseWithoutLengthIsFailure() throws IOException {
