--- a/product/src/main/java/io/foxtaildoor/connection/caller/RequestHeadReader.java
+++ b/product/src/main/java/io/foxtaildoor/connection/caller/RequestHeadReader.java
@@ -5,6 +5,7 @@
 import io.foxtaildoor.common.HeaderNames;
 import io.foxtaildoor.common.Rank;
 import io.foxtaildoor.common.ServiceId;
+import io.foxtaildoor.connection.head.CharacterClass;
 import io.foxtaildoor.connection.head.HeaderList;
 import io.foxtaildoor.connection.head.HopByHopHeaders;
 import io.foxtaildoor.protocol.Header;
--- a/product/src/main/java/io/foxtaildoor/connection/caller/RequestTarget.java
+++ b/product/src/main/java/io/foxtaildoor/connection/caller/RequestTarget.java
@@ -2,6 +2,7 @@
 
 import io.foxtaildoor.common.ErrorKind;
 import io.foxtaildoor.common.FoxtaildoorException;
+import io.foxtaildoor.connection.head.CharacterClass;
 import java.util.Locale;
 
 /**
--- a/product/src/main/java/io/foxtaildoor/connection/caller/ResponseWriter.java
+++ b/product/src/main/java/io/foxtaildoor/connection/caller/ResponseWriter.java
@@ -3,6 +3,7 @@
 import io.foxtaildoor.common.ErrorKind;
 import io.foxtaildoor.common.FoxtaildoorException;
 import io.foxtaildoor.common.HeaderDialect;
+import io.foxtaildoor.connection.head.CharacterClass;
 import io.foxtaildoor.connection.head.HeaderList;
 import io.foxtaildoor.connection.head.HopByHopHeaders;
 import io.foxtaildoor.protocol.Header;
--- a/product/src/main/java/io/foxtaildoor/connection/upstream/HttpHeadConverter.java
+++ b/product/src/main/java/io/foxtaildoor/connection/upstream/HttpHeadConverter.java
@@ -5,6 +5,7 @@
 import io.foxtaildoor.common.HeaderDialect;
 import io.foxtaildoor.common.HeaderNames;
 import io.foxtaildoor.common.Rank;
+import io.foxtaildoor.connection.head.CharacterClass;
 import io.foxtaildoor.connection.head.HeaderList;
 import io.foxtaildoor.connection.head.HopByHopHeaders;
 import io.foxtaildoor.protocol.Header;
@@ -80,16 +81,9 @@
   }
 
   private static boolean isRequestTarget(String target) {
-    if (!target.startsWith("/")) {
-      return target.equals("*");
-    }
-    for (int i = 1; i < target.length(); i++) {
-      char c = target.charAt(i);
-      if (c <= ' ' || c >= 127) {
-        return false;
-      }
-    }
-    return true;
+    return target.startsWith("/")
+        ? CharacterClass.matches(target, 1, target.length(), CharacterClass::isVisible)
+        : target.equals("*");
   }
 
   private static void setBodyFraming(RequestStart head, HttpHeaders headers) {
@@ -129,7 +123,8 @@
     long length = UNKNOWN_LENGTH;
     for (Header header : head.getHeadersList()) {
       if (header.getName().equalsIgnoreCase("content-length")) {
-        if (!isLength(header.getValue())) {
+        if (!CharacterClass.matches(
+            header.getValue(), MAX_CONTENT_LENGTH_DIGITS, CharacterClass::isDigit)) {
           throw invalidInput("malformed content length");
         }
         long declared = Long.parseLong(header.getValue());
@@ -149,15 +144,6 @@
     return length;
   }
 
-  private static boolean isLength(String text) {
-    for (int i = 0; i < text.length(); i++) {
-      if (text.charAt(i) < '0' || text.charAt(i) > '9') {
-        return false;
-      }
-    }
-    return !text.isEmpty() && text.length() <= MAX_CONTENT_LENGTH_DIGITS;
-  }
-
   private static FoxtaildoorException invalidInput(String detail) {
     return new FoxtaildoorException(ErrorKind.INVALID_INPUT, detail);
   }
