Apply latency objectives to clients with short deadlines

On a deployment whose clients wait 400 to 600 ms, every request counted as a call of an instance, because its deadline is below the Retry-After of 700 ms. None had an objective: requests that were too late held the slots, and callers whose request could still be served in time were refused. A route now counts as one of clients when a tenth or more of its recent requests cannot be calls: they go to the service of the node's own instance, or expire later than every request that the instance runs.

--- a/product/src/main/java/io/foxtaildoor/connection/caller/CallerConnection.java
+++ b/product/src/main/java/io/foxtaildoor/connection/caller/CallerConnection.java
@@ -4,6 +4,8 @@
 import io.foxtaildoor.common.FoxtaildoorException;
 import io.foxtaildoor.common.HeaderDialect;
 import io.foxtaildoor.common.Outcome;
+import io.foxtaildoor.common.ServiceId;
+import io.foxtaildoor.process.membership.UpstreamAnnouncement;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
@@ -23,6 +25,7 @@
 import java.lang.System.Logger.Level;
 import java.util.ArrayDeque;
 import java.util.HexFormat;
+import java.util.Optional;
 import java.util.Queue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
@@ -194,7 +197,8 @@
           new RequestHeadReader(
                   dependencies.protocol(),
                   dependencies.timeoutTracker(),
-                  dependencies.random().get())
+                  dependencies.random().get(),
+                  this::mayBeCall)
               .read(request, dependencies.configuration().get(), this::newRequestId, now);
       checkProcessorDelay(head, now);
       RequestBody body =
@@ -207,6 +211,12 @@
     }
   }
 
+  private boolean mayBeCall(ServiceId service, long deadlineNanos) {
+    Optional<ServiceId> local =
+        dependencies.fleet().self().upstream().map(UpstreamAnnouncement::service);
+    return dependencies.retryBudgets().mayBeCall(service, local, deadlineNanos);
+  }
+
   private static FoxtaildoorException toDecodingFailure(Throwable cause) {
     return cause instanceof TooLongHttpHeaderException
         ? new FoxtaildoorException(ErrorKind.HEADERS_TOO_LARGE, "the headers are too large", cause)
--- a/product/src/main/java/io/foxtaildoor/connection/caller/RequestHeadReader.java
+++ b/product/src/main/java/io/foxtaildoor/connection/caller/RequestHeadReader.java
@@ -43,6 +43,14 @@
   private final CallerProtocol protocol;
   private final CallerTimeoutTracker timeoutTracker;
   private final RandomGenerator random;
+  private final CallCheck callCheck;
+
+  /** Tells whether the upstream on this host may have made a request. */
+  @FunctionalInterface
+  interface CallCheck {
+    /** Returns whether a request to a service with a deadline in monotonic time may be a call. */
+    boolean mayBeCall(ServiceId service, long deadlineNanos);
+  }
 
   /**
    * Creates a reader.
@@ -50,10 +58,14 @@
    * @param random used to choose among the services of a traffic split
    */
   RequestHeadReader(
-      CallerProtocol protocol, CallerTimeoutTracker timeoutTracker, RandomGenerator random) {
+      CallerProtocol protocol,
+      CallerTimeoutTracker timeoutTracker,
+      RandomGenerator random,
+      CallCheck callCheck) {
     this.protocol = protocol;
     this.timeoutTracker = timeoutTracker;
     this.random = random;
+    this.callCheck = callCheck;
   }
 
   /**
@@ -113,12 +125,14 @@
     if (protocol.localCaller().isPresent()) {
       message.addHeaders(Header.newBuilder().setName(protocol.headers().caller()).setValue(caller));
     }
+    long deadlineNanos = nowNanos + requestTimeoutNanos(headers, route);
+    boolean mayBeCall = callCheck.mayBeCall(service, deadlineNanos);
     return new RequestHead(
         message.build(),
         route,
         service,
-        nowNanos + requestTimeoutNanos(headers, route),
-        objectiveNanos(headers, route, nowNanos),
+        deadlineNanos,
+        objectiveNanos(headers, route, mayBeCall, nowNanos),
         hasBody,
         hasSmallBody(request),
         HttpUtil.is100ContinueExpected(request));
@@ -208,15 +222,17 @@
     };
   }
 
-  private OptionalLong objectiveNanos(HeaderList headers, Route route, long nowNanos) {
+  private OptionalLong objectiveNanos(
+      HeaderList headers, Route route, boolean mayBeCall, long nowNanos) {
     if (route.objective().isZero()) {
       return OptionalLong.empty();
     }
     int remainingMillis = numberHeader(headers, protocol.headers().deadlineMillis(), 0);
     int longestMillis = timeoutTracker.updateLongestTimeout(route.name(), remainingMillis);
-    if (longestMillis <= protocol.retryAfter().toMillis()) {
-      // Callers of this route do not wait long enough to retry after a refusal, so a response after
-      // the objective is still useful to them.
+    boolean usedByClients = timeoutTracker.updateClientUse(route.name(), mayBeCall, nowNanos);
+    if (!usedByClients && longestMillis <= protocol.retryAfter().toMillis()) {
+      // Only upstreams call this route, as far as is known, and do not wait long enough to retry
+      // after a refusal, so a response after the objective is still useful to them.
       return OptionalLong.empty();
     }
     long elapsed =
--- a/product/src/main/java/io/foxtaildoor/process/node/RequestPath.java
+++ b/product/src/main/java/io/foxtaildoor/process/node/RequestPath.java
@@ -33,6 +33,7 @@
 import io.foxtaildoor.version.routing.Route;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.Comparator;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.stream.Collectors;
@@ -88,7 +89,7 @@
         new LocalLinkClient(context.nodeId(), upstream, links, context.eventLoops());
     UpstreamSelector selector =
         new UpstreamSelector(profile.balance(), settings.get(REGION), settings.get(DATA_CENTRE));
-    CallerTimeoutTracker patience = new CallerTimeoutTracker();
+    CallerTimeoutTracker timeoutTracker = new CallerTimeoutTracker(context.clock().getAsLong());
     EventLoopGuard guard = new EventLoopGuard();
     sampleEventLoopDelay(context, guard, context.clock().getAsLong());
     context
@@ -99,7 +100,7 @@
             callerSettings(settings),
             new CallerDependencies(
                 profile.callers(),
-                patience,
+                timeoutTracker,
                 new RequestLog(),
                 guard,
                 control.holder()::current,
@@ -116,7 +117,12 @@
             context.eventLoops());
     startRetryReports(context, budgets, control.membership());
     control.holder().addListener(callers::configurationApplied);
-    control.holder().addListener(configuration -> patience.retainRoutes(routeNames(configuration)));
+    control
+        .holder()
+        .addListener(
+            configuration ->
+                timeoutTracker.applyConfiguration(
+                    routeNames(configuration), longestDeadline(configuration)));
   }
 
   /** Reports the requests that the local upstream executes to the retry budgets. */
@@ -146,6 +152,13 @@
         .start();
   }
 
+  private static Duration longestDeadline(ConfigurationSnapshot configuration) {
+    return configuration.routes().routes().stream()
+        .map(Route::deadline)
+        .max(Comparator.naturalOrder())
+        .orElse(Duration.ZERO);
+  }
+
   private static Set<String> routeNames(ConfigurationSnapshot configuration) {
     return configuration.routes().routes().stream().map(Route::name).collect(Collectors.toSet());
   }
--- a/product/src/main/java/io/foxtaildoor/request/retry/RetryBudgets.java
+++ b/product/src/main/java/io/foxtaildoor/request/retry/RetryBudgets.java
@@ -52,15 +52,25 @@
    */
   public double recordRequest(
       ServiceId service, Optional<ServiceId> local, long deadlineNanos, long nowNanos) {
-    // Assumes that services do not call themselves: most requests to the local service come from
-    // clients.
-    boolean isOtherService = local.isPresent() && !local.get().equals(service);
-    boolean mayBeCall = isOtherService && localRuns.mayHaveMadeRequest(deadlineNanos);
+    boolean mayBeCall = mayBeCall(service, local, deadlineNanos);
     double repeatProbability = mayBeCall ? localRuns.repeatShare(nowNanos) : 0;
     budgetOf(service, nowNanos).recordRequest(mayBeCall, repeatProbability, nowNanos);
     return repeatProbability;
   }
 
+  /**
+   * Returns whether a run of the local upstream may have made a request.
+   *
+   * @param local service of the upstream on this host
+   * @param deadlineNanos deadline of the request on the monotonic clock
+   */
+  public boolean mayBeCall(ServiceId service, Optional<ServiceId> local, long deadlineNanos) {
+    // Assumes that services do not call themselves: most requests to the local service come from
+    // clients.
+    boolean isOtherService = local.isPresent() && !local.get().equals(service);
+    return isOtherService && localRuns.mayHaveMadeRequest(deadlineNanos);
+  }
+
   /**
    * Takes one retry of a request to a service from the budget of the service; returns false when
    * there is no room for it.
--- a/product/src/test/java/io/foxtaildoor/connection/caller/CallerFixture.java
+++ b/product/src/test/java/io/foxtaildoor/connection/caller/CallerFixture.java
@@ -97,7 +97,7 @@
     SplittableRandom random = new SplittableRandom(3);
     return new CallerDependencies(
         CallerProtocol.STANDARD,
-        new CallerTimeoutTracker(),
+        new CallerTimeoutTracker(0),
         new RequestLog(),
         processorGuard,
         () -> configuration,
