Answer requests with a known idempotency key while the instance leaves

A leaving instance refused every request as leaving, also one whose key it knew. Since such refusals move on to another instance, a repeat of a request that had run would have run there again. It gets the remembered response or DUPLICATE now. UpstreamServerTest.leavingServerAnswersRequestsWhoseKeyItKnows fails without the change.

--- a/product/src/main/java/io/foxtaildoor/connection/upstream/UpstreamServer.java
+++ b/product/src/main/java/io/foxtaildoor/connection/upstream/UpstreamServer.java
@@ -197,7 +197,7 @@
     exchanges.add(exchange);
     RequestStart head = exchange.head();
     if (drain.isDraining()) {
-      exchange.fail(ErrorKind.LEAVING, "upstream is leaving");
+      refuseAsLeaving(exchange);
     } else if (announced == null || !announced.service().value().equals(head.getService())) {
       exchange.fail(ErrorKind.NO_UPSTREAM, "no upstream of service " + head.getService());
     } else if (!exchange.hasValidContentLength()) {
@@ -211,6 +211,24 @@
     }
   }
 
+  /**
+   * Refuses a request as LEAVING, after which its caller may send it to another instance. A request
+   * whose idempotency key is known here is not refused so, because it may have run.
+   */
+  private void refuseAsLeaving(Exchange exchange) {
+    String key = exchange.head().getIdempotencyKey();
+    if (!key.isEmpty() && announced != null) {
+      KeyClaimResult decision = keys.claim(announced.service(), key, now());
+      if (decision instanceof KeyClaimResult.Granted granted) {
+        granted.claim().release();
+      } else {
+        applyKeyClaim(exchange, decision);
+        return;
+      }
+    }
+    exchange.fail(ErrorKind.LEAVING, "upstream is leaving");
+  }
+
   /**
    * Applies the current configuration of the service to the pool and the admission queue.
    *
--- a/product/src/test/java/io/foxtaildoor/connection/upstream/UpstreamServerTest.java
+++ b/product/src/test/java/io/foxtaildoor/connection/upstream/UpstreamServerTest.java
@@ -513,6 +513,29 @@
     }
   }
 
+  /**
+   * Guards against a second execution: a request refused as leaving moves to another instance,
+   * which does not know that a request with the same idempotency key ran here.
+   */
+  @Test
+  public void leavingServerAnswersRequestsWhoseKeyItKnows() throws Exception {
+    Script script =
+        connection -> {
+          connection.readHead();
+          connection.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+          connection.readHead();
+        };
+    try (ScriptedUpstream upstream = upstream(script)) {
+      RequestStart.Builder known = requestHead("POST", true).setIdempotencyKey("k");
+      assertEquals(await(fixture.call(known).body), "ok");
+      assertTrue(await(fixture.server.beginDrain(System.nanoTime())));
+      assertEquals(await(fixture.call(known).body), "ok");
+      RequestStart.Builder other = requestHead("POST", true).setIdempotencyKey("other");
+      assertEquals(fixture.call(other).failedWith(true), ErrorKind.LEAVING);
+      assertEquals(upstream.requestHeads.size(), 1);
+    }
+  }
+
   /** Guards against sending the upstream more concurrent requests than its configured slots. */
   @Test
   public void limitsConcurrentRequestsToConfiguredSlots() throws Exception {
