Search listed hop-by-hop headers in a set again

Before it was a hash set, as it is again; a message without the header still needs none. HeaderListTest.manyListedNamesAreSearchedQuickly looks 100,000 headers up among as many names within 10 s; it was not run on the code without the change.

--- a/product/src/main/java/io/foxtaildoor/connection/head/HopByHopHeaders.java
+++ b/product/src/main/java/io/foxtaildoor/connection/head/HopByHopHeaders.java
@@ -1,8 +1,10 @@
 package io.foxtaildoor.connection.head;
 
 import io.foxtaildoor.common.HeaderNames;
-import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
+import java.util.Set;
 
 /**
  * Names of the headers of one message that apply to a single connection, so that a proxy does not
@@ -10,12 +12,13 @@
  * Connection headers. Names are compared without regard to case.
  */
 public final class HopByHopHeaders {
-  private static final HopByHopHeaders NONE_LISTED = new HopByHopHeaders(List.of());
+  private static final HopByHopHeaders NONE_LISTED = new HopByHopHeaders(Set.of());
   private static final String[][] NAMES_BY_LENGTH = namesByLength();
 
-  private final List<String> listed;
+  /** Names in lower case; a set, because a faulty peer may list thousands of them. */
+  private final Set<String> listed;
 
-  private HopByHopHeaders(List<String> listed) {
+  private HopByHopHeaders(Set<String> listed) {
     this.listed = listed;
   }
 
@@ -41,23 +44,24 @@
     if (connectionValues.isEmpty()) {
       return NONE_LISTED;
     }
-    List<String> names = new ArrayList<>();
+    Set<String> names = new HashSet<>();
     for (String value : connectionValues) {
       for (String name : value.split(",", -1)) {
-        names.add(name.strip());
+        names.add(name.strip().toLowerCase(Locale.ROOT));
       }
     }
     return new HopByHopHeaders(names);
   }
 
-  /** Returns the names that the Connection headers list. */
-  public List<String> listed() {
+  /** Returns the names that the Connection headers list, in lower case. */
+  public Set<String> listed() {
     return listed;
   }
 
   /** Returns whether a header applies to the connection only. */
   public boolean contains(String name) {
-    return isAlwaysHopByHop(name) || containsIgnoringCase(listed, name);
+    return isAlwaysHopByHop(name)
+        || (!listed.isEmpty() && listed.contains(name.toLowerCase(Locale.ROOT)));
   }
 
   private static boolean isAlwaysHopByHop(String name) {
@@ -72,13 +76,4 @@
     }
     return false;
   }
-
-  private static boolean containsIgnoringCase(List<String> names, String name) {
-    for (int i = 0; i < names.size(); i++) {
-      if (names.get(i).equalsIgnoreCase(name)) {
-        return true;
-      }
-    }
-    return false;
-  }
 }
--- a/product/src/test/java/io/foxtaildoor/connection/head/HeaderListTest.java
+++ b/product/src/test/java/io/foxtaildoor/connection/head/HeaderListTest.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.List;
 import java.util.SplittableRandom;
+import java.util.stream.IntStream;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -107,5 +108,15 @@
         assertFalse(headers.contains(name), name);
       }
     }
+
+    /** Guards against a head with many listed names that occupies the event loop for seconds. */
+    @Test(timeOut = 10_000)
+    public void manyListedNamesAreSearchedQuickly() {
+      List<String> names = IntStream.range(0, 100_000).mapToObj(i -> "listed-" + i).toList();
+      HopByHopHeaders headers = HopByHopHeaders.of(List.of(String.join(",", names)));
+      for (int i = 0; i < names.size(); i++) {
+        assertFalse(headers.contains("header-" + i));
+      }
+    }
   }
 }
