--- a/review/standins/Node.java
+++ b/review/standins/Node.java
@@ -147,6 +147,13 @@
     start();
   }
 
+  /** Kills the process without waiting for its end. */
+  void kill() {
+    if (process != null) {
+      process.destroyForcibly();
+    }
+  }
+
   String log() throws IOException {
     return Files.readString(log);
   }
--- a/review/standins/Rig.java
+++ b/review/standins/Rig.java
@@ -22,6 +22,7 @@
     record = new Record(Path.of(System.getProperty("review.record")));
     work = Files.createTempDirectory("review");
     store = new Store();
+    Runtime.getRuntime().addShutdownHook(new Thread(this::killNodes));
     record.line("start, TROUBLE=%d", trouble ? 1 : 0);
   }
 
@@ -87,6 +88,13 @@
     System.exit(status);
   }
 
+  /** Ends the nodes also when the driver itself is stopped from outside. */
+  private void killNodes() {
+    for (Node node : List.copyOf(nodes)) {
+      node.kill();
+    }
+  }
+
   private static boolean logsWanted() {
     return System.getenv("REVIEW_DEBUG") != null;
   }
