--- a/review/standins/CutUnframedAnswer.java
+++ b/review/standins/CutUnframedAnswer.java
@@ -91,6 +91,12 @@
 
     second.spoils = rig.trouble;
     long end = record.now() + SPOILED_MILLIS;
+    Threads.start(
+        "end of the disruption",
+        () -> {
+          Threads.sleep(SPOILED_MILLIS - 200);
+          second.spoils = false;
+        });
     AtomicInteger numbers = new AtomicInteger();
     AtomicInteger wrong = new AtomicInteger();
     AtomicInteger good = new AtomicInteger();
