Close callers' connections at the stop limit of the platform

Cause: the listener for callers had a drain timeout of its own, stop.drainTimeout of the settings (2,500 ms in deploy/settings.yaml), counted from the begin of the drain. The platform's stop limit, which the node keeps elsewhere, didn't reach it.

Change: Node passes the one drain timeout of its platform to the listener. The second copy of the setting in UpstreamSettings only ended a future that Node already waits for with a limit, so it goes; so does the margin of 5 s that made up for the two timers. CallerFixture's drain timeout becomes an argument of beginDrain, with the same values in the tests.

--- a/product/src/main/java/io/foxtaildoor/connection/caller/CallerListener.java
+++ b/product/src/main/java/io/foxtaildoor/connection/caller/CallerListener.java
@@ -158,10 +158,11 @@
    * Starts a graceful shutdown: refuses new connections, completes the requests in flight and
    * announces the close of the connection in each response.
    *
-   * @return a future that completes when no connection is left or at the drain timeout, with the
-   *     number of connections that were closed at the timeout while a request was in progress
+   * @param timeout time after which the remaining connections are closed
+   * @return a future that completes when no connection is left or at the timeout, with the number
+   *     of connections that were closed at the timeout while a request was in progress
    */
-  public CompletableFuture<Integer> beginDrain() {
+  public CompletableFuture<Integer> beginDrain(Duration timeout) {
     draining = true;
     if (server != null) {
       server.close().addListener(ChannelFutureListener.FIRE_EXCEPTION_ON_FAILURE);
@@ -173,10 +174,7 @@
       }
     }
     ScheduledFuture<?> timeoutTask =
-        group
-            .next()
-            .schedule(
-                this::onDrainTimeout, settings.drainTimeout().toNanos(), TimeUnit.NANOSECONDS);
+        group.next().schedule(this::onDrainTimeout, timeout.toNanos(), TimeUnit.NANOSECONDS);
     completeDrainIfNoConnections();
     return drained.whenComplete((interrupted, failure) -> timeoutTask.cancel(false));
   }
--- a/product/src/main/java/io/foxtaildoor/connection/caller/CallerSettings.java
+++ b/product/src/main/java/io/foxtaildoor/connection/caller/CallerSettings.java
@@ -17,7 +17,6 @@
  * @param maxTotalReplayBytes largest number of body bytes that all requests together buffer for
  *     retries
  * @param drainIdleDelay time that an idle connection stays open after the start of a drain
- * @param drainTimeout time after which a drain closes the remaining connections
  */
 public record CallerSettings(
     InetSocketAddress address,
@@ -28,8 +27,7 @@
     Duration idleTimeout,
     int maxReplayBytes,
     long maxTotalReplayBytes,
-    Duration drainIdleDelay,
-    Duration drainTimeout) {
+    Duration drainIdleDelay) {
   /** Returns the default settings, with a free port on the loopback address. */
   public static CallerSettings defaults() {
     return new CallerSettings(
@@ -41,7 +39,6 @@
         Duration.ofSeconds(60),
         64 * 1024,
         16 * 1024 * 1024,
-        Duration.ofMillis(250),
-        Duration.ofSeconds(30));
+        Duration.ofMillis(250));
   }
 }
--- a/product/src/main/java/io/foxtaildoor/connection/upstream/UpstreamDrain.java
+++ b/product/src/main/java/io/foxtaildoor/connection/upstream/UpstreamDrain.java
@@ -1,7 +1,6 @@
 package io.foxtaildoor.connection.upstream;
 
 import io.netty.channel.EventLoop;
-import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
@@ -20,19 +19,13 @@
   private static final long QUEUE_LIMIT_NANOS = TimeUnit.MILLISECONDS.toNanos(1500);
 
   private final EventLoop loop;
-  private final Duration timeout;
   private CompletableFuture<Boolean> drained = new CompletableFuture<>();
   private boolean draining;
   private long startedNanos;
 
-  /**
-   * Creates the state of an upstream that is not draining.
-   *
-   * @param timeout time after which a drain ends even if requests are left
-   */
-  UpstreamDrain(EventLoop loop, Duration timeout) {
+  /** Creates the state of an upstream that is not draining. */
+  UpstreamDrain(EventLoop loop) {
     this.loop = loop;
-    this.timeout = timeout;
   }
 
   boolean isDraining() {
@@ -44,8 +37,8 @@
    *
    * @param begin runs when a new drain starts
    * @param refuseQueued runs when the requests that are still queued must be refused
-   * @return completes with true when no request is left, or with false when the timeout passes
-   *     first
+   * @return completes with true when no request is left, or with false when another upstream
+   *     replaces the one that is leaving first
    */
   CompletableFuture<Boolean> begin(long nowNanos, Runnable begin, Runnable refuseQueued) {
     if (!draining) {
@@ -56,15 +49,7 @@
       var refusal =
           loop.schedule(
               () -> refuseWhileDraining(refuseQueued), QUEUE_LIMIT_NANOS, TimeUnit.NANOSECONDS);
-      var timer =
-          loop.schedule(
-              () -> currentDrain.complete(false), timeout.toNanos(), TimeUnit.NANOSECONDS);
-      var unused =
-          currentDrain.thenRun(
-              () -> {
-                refusal.cancel(false);
-                timer.cancel(false);
-              });
+      var unused = currentDrain.thenRun(() -> refusal.cancel(false));
     }
     return drained.copy();
   }
--- a/product/src/main/java/io/foxtaildoor/connection/upstream/UpstreamServer.java
+++ b/product/src/main/java/io/foxtaildoor/connection/upstream/UpstreamServer.java
@@ -80,7 +80,7 @@
       LongSupplier clock) {
     this.loop = group.next();
     this.settings = settings;
-    this.drain = new UpstreamDrain(loop, settings.drainTimeout());
+    this.drain = new UpstreamDrain(loop);
     this.services = services;
     this.invariants = invariants;
     this.metrics = new UpstreamMetrics(registry);
@@ -163,8 +163,8 @@
    * Refuses new requests as LEAVING and lets queued and running ones finish. Requests that are
    * still queued after 1.5 s are refused as LEAVING too.
    *
-   * @return completes with true when no request is left, or with false when the drain timeout of
-   *     the settings passes first
+   * @return completes with true when no request is left, or with false when another upstream
+   *     replaces this one first
    */
   public CompletableFuture<Boolean> beginDrain(long nowNanos) {
     CompletableFuture<Boolean> result = new CompletableFuture<>();
--- a/product/src/main/java/io/foxtaildoor/connection/upstream/UpstreamSettings.java
+++ b/product/src/main/java/io/foxtaildoor/connection/upstream/UpstreamSettings.java
@@ -14,7 +14,6 @@
  * @param idleTimeout time after which an idle connection is closed; shorter than the usual
  *     keep-alive timeout of servers, so that the upstream rarely closes a connection that is just
  *     being reused
- * @param drainTimeout longest wait for requests in flight when the upstream shuts down
  * @param bufferedResponseBytes responses up to this size are forwarded only when they are complete,
  *     so that the caller's node can still try another instance if a response is cut off; 0 forwards
  *     each part at once
@@ -29,7 +28,6 @@
     Duration progressTimeout,
     Duration continueTimeout,
     Duration idleTimeout,
-    Duration drainTimeout,
     int bufferedResponseBytes,
     HeaderDialect headers,
     long maxRequestBytes,
@@ -46,7 +44,6 @@
         progressTimeout,
         continueTimeout,
         idleTimeout,
-        drainTimeout,
         bufferedResponseBytes,
         dialect,
         maxRequestBytes,
@@ -62,7 +59,6 @@
         Duration.ofSeconds(10),
         Duration.ofSeconds(1),
         Duration.ofSeconds(4),
-        Duration.ofSeconds(30),
         BUFFERED_RESPONSE_BYTES,
         HeaderDialect.STANDARD,
         1L << 30,
--- a/product/src/main/java/io/foxtaildoor/process/node/Node.java
+++ b/product/src/main/java/io/foxtaildoor/process/node/Node.java
@@ -56,6 +56,9 @@
   /** Time limit for each step of a stop that has no setting of its own. */
   private static final Duration STOP_STEP_TIMEOUT = Duration.ofSeconds(5);
 
+  /** Time that the listener for callers takes to close its connections at the drain timeout. */
+  private static final Duration CLOSE_TIMEOUT = Duration.ofMillis(200);
+
   private final Settings settings;
   private final NodeContext context;
   private final LinkMetrics linkMetrics;
@@ -225,11 +228,12 @@
   }
 
   private boolean drain() {
-    long endNanos = context.clock().getAsLong() + platformServices.drainTimeout().toNanos();
-    CompletableFuture<Boolean> upstreamDrained =
-        requestPath.upstream().beginDrain(context.clock().getAsLong());
+    Duration timeout = platformServices.drainTimeout();
+    long nowNanos = context.clock().getAsLong();
+    long endNanos = nowNanos + timeout.toNanos();
+    CompletableFuture<Boolean> upstreamDrained = requestPath.upstream().beginDrain(nowNanos);
     CompletableFuture<Void> peersDrained = peerListener.beginDrain();
-    CompletableFuture<Integer> callersDrained = requestPath.callers().beginDrain();
+    CompletableFuture<Integer> callersDrained = requestPath.callers().beginDrain(timeout);
     CompletableFuture<Void> operatorsDrained = operatorListener.beginDrain();
     boolean finished =
         awaitStep("drain requests to the upstream", upstreamDrained, remaining(endNanos));
@@ -238,7 +242,7 @@
         awaitStep(
             "drain requests of callers",
             callersDrained.thenApply(cut -> cut == 0),
-            remaining(endNanos));
+            remaining(endNanos).plus(CLOSE_TIMEOUT));
     finished &= awaitStep("drain operator calls", operatorsDrained, remaining(endNanos));
     return finished;
   }
--- a/product/src/main/java/io/foxtaildoor/process/node/RequestPath.java
+++ b/product/src/main/java/io/foxtaildoor/process/node/RequestPath.java
@@ -4,7 +4,6 @@
 import static io.foxtaildoor.process.settings.NodeSettings.CALLER_ENDPOINT;
 import static io.foxtaildoor.process.settings.NodeSettings.CALLER_PORT;
 import static io.foxtaildoor.process.settings.NodeSettings.DATA_CENTRE;
-import static io.foxtaildoor.process.settings.NodeSettings.DRAIN_TIMEOUT;
 import static io.foxtaildoor.process.settings.NodeSettings.MAX_CALLER_CONNECTIONS;
 import static io.foxtaildoor.process.settings.NodeSettings.MAX_DESCRIPTORS;
 import static io.foxtaildoor.process.settings.NodeSettings.REGION;
@@ -191,8 +190,7 @@
         defaults.idleTimeout(),
         defaults.maxReplayBytes(),
         defaults.maxTotalReplayBytes(),
-        defaults.drainIdleDelay(),
-        settings.get(DRAIN_TIMEOUT));
+        defaults.drainIdleDelay());
   }
 
   /**
--- a/product/src/main/java/io/foxtaildoor/process/node/RequestProfile.java
+++ b/product/src/main/java/io/foxtaildoor/process/node/RequestProfile.java
@@ -1,7 +1,6 @@
 package io.foxtaildoor.process.node;
 
 import static io.foxtaildoor.process.settings.NodeSettings.ADMISSION_MODE;
-import static io.foxtaildoor.process.settings.NodeSettings.DRAIN_TIMEOUT;
 import static io.foxtaildoor.process.settings.NodeSettings.PLATFORM_BOUNDS;
 import static io.foxtaildoor.process.settings.NodeSettings.RETRY_BUDGET_PERCENT;
 import static io.foxtaildoor.process.settings.NodeSettings.SELECTION_MODE;
@@ -200,7 +199,6 @@
         defaults.progressTimeout(),
         defaults.continueTimeout(),
         defaults.idleTimeout(),
-        settings.get(DRAIN_TIMEOUT),
         defaults.bufferedResponseBytes(),
         defaults.headers(),
         defaults.maxRequestBytes(),
--- a/product/src/main/java/io/foxtaildoor/process/node/StandardPlatformServices.java
+++ b/product/src/main/java/io/foxtaildoor/process/node/StandardPlatformServices.java
@@ -23,12 +23,6 @@
  * the audit trail.
  */
 final class StandardPlatformServices implements PlatformServices {
-  /**
-   * Added to the drain timeout of the settings, because connections that are closed at that timeout
-   * need some more time to close.
-   */
-  private static final Duration DRAIN_MARGIN = Duration.ofSeconds(5);
-
   private final NodeContext context;
   private StandardPlatformConnector connector;
   private AuditTrail audit;
@@ -89,7 +83,7 @@
 
   @Override
   public Duration drainTimeout() {
-    return context.settings().get(DRAIN_TIMEOUT).plus(DRAIN_MARGIN);
+    return context.settings().get(DRAIN_TIMEOUT);
   }
 
   @Override
--- a/product/src/test/java/io/foxtaildoor/connection/caller/CallerFixture.java
+++ b/product/src/test/java/io/foxtaildoor/connection/caller/CallerFixture.java
@@ -64,18 +64,18 @@
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
 
   CallerFixture() {
-    this(Duration.ofSeconds(10), Duration.ofSeconds(30));
+    this(Duration.ofSeconds(10));
   }
 
-  CallerFixture(Duration headTimeout, Duration drainTimeout) {
-    this(headTimeout, drainTimeout, CallerSettings.defaults().maxConnections());
+  CallerFixture(Duration headTimeout) {
+    this(headTimeout, CallerSettings.defaults().maxConnections());
   }
 
   CallerFixture(int maxConnections) {
-    this(Duration.ofSeconds(10), Duration.ofSeconds(30), maxConnections);
+    this(Duration.ofSeconds(10), maxConnections);
   }
 
-  private CallerFixture(Duration headTimeout, Duration drainTimeout, int maxConnections) {
+  private CallerFixture(Duration headTimeout, int maxConnections) {
     CallerSettings defaults = CallerSettings.defaults();
     CallerSettings settings =
         new CallerSettings(
@@ -87,8 +87,7 @@
             defaults.idleTimeout(),
             defaults.maxReplayBytes(),
             MAX_TOTAL_REPLAY_BYTES,
-            Duration.ofMillis(50),
-            drainTimeout);
+            Duration.ofMillis(50));
     listener = new CallerListener(settings, dependencies(), group);
     address = listener.start();
   }
--- a/product/src/test/java/io/foxtaildoor/connection/caller/CallerListenerTest.java
+++ b/product/src/test/java/io/foxtaildoor/connection/caller/CallerListenerTest.java
@@ -409,7 +409,7 @@
   /** Guards against slow senders that occupy a connection forever. */
   @Test
   public void slowSendersTimeOut() throws Exception {
-    try (CallerFixture strict = new CallerFixture(Duration.ofMillis(100), Duration.ofSeconds(30));
+    try (CallerFixture strict = new CallerFixture(Duration.ofMillis(100));
         RawCaller slow = strict.connectCaller();
         RawCaller slowBody = strict.connectCaller()) {
       Response response = slow.send("GET /check HTTP/1.1\r\nHo").readResponse();
--- a/product/src/test/java/io/foxtaildoor/connection/caller/ExchangeTest.java
+++ b/product/src/test/java/io/foxtaildoor/connection/caller/ExchangeTest.java
@@ -21,6 +21,7 @@
 /** Tests {@link Exchange} over TCP: responses, failures, flow control and drain. */
 public class ExchangeTest {
   private static final int REPLAY_BYTES = 64 * 1024;
+  private static final Duration DRAIN_TIMEOUT = Duration.ofSeconds(30);
 
   /** Tests responses that arrive late, belong to another request, or are truncated or malformed. */
   public static final class Responses extends CallerTestBase {
@@ -365,7 +366,7 @@
       try (RawCaller idle = fixture.connectCaller()) {
         caller.send(CHECK_REQUEST);
         FakeLinkClient.Stream stream = fixture.linkClient.nextStream();
-        CompletableFuture<Integer> drained = fixture.listener.beginDrain();
+        CompletableFuture<Integer> drained = fixture.listener.beginDrain(DRAIN_TIMEOUT);
         assertTrue(idle.isClosedByPeer());
         stream.sendResponse("last");
         Response response = caller.readResponse();
@@ -387,16 +388,12 @@
      */
     @Test
     public void drainEndsAtItsTimeout() throws Exception {
-      try (CallerFixture hanging =
-              new CallerFixture(Duration.ofSeconds(10), Duration.ofMillis(100));
-          RawCaller waiting = hanging.connectCaller()) {
-        waiting.send(CHECK_REQUEST);
-        hanging.linkClient.nextStream();
-        CompletableFuture<Integer> drained = hanging.listener.beginDrain();
-        assertEquals(
-            drained.get(FakeLinkClient.TIMEOUT_SECONDS, TimeUnit.SECONDS), Integer.valueOf(1));
-        assertEquals(hanging.invariants.breaches(Invariant.STOP_CUTS_NOTHING), 1);
-      }
+      caller.send(CHECK_REQUEST);
+      fixture.linkClient.nextStream();
+      CompletableFuture<Integer> drained = fixture.listener.beginDrain(Duration.ofMillis(100));
+      assertEquals(
+          drained.get(FakeLinkClient.TIMEOUT_SECONDS, TimeUnit.SECONDS), Integer.valueOf(1));
+      assertEquals(fixture.invariants.breaches(Invariant.STOP_CUTS_NOTHING), 1);
     }
   }
 }
--- a/product/src/test/java/io/foxtaildoor/connection/upstream/UpstreamFixture.java
+++ b/product/src/test/java/io/foxtaildoor/connection/upstream/UpstreamFixture.java
@@ -68,7 +68,6 @@
             progressTimeout,
             Duration.ofSeconds(20),
             Duration.ofSeconds(20),
-            Duration.ofSeconds(20),
             bufferedResponseBytes,
             headers,
             1 << 20,
--- a/product/src/test/java/io/foxtaildoor/process/node/ManagedMesh.java
+++ b/product/src/test/java/io/foxtaildoor/process/node/ManagedMesh.java
@@ -7,6 +7,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.UnaryOperator;
 
 /**
  * Runs a stand-in for the store of a managed platform, and nodes with one upstream instance
@@ -43,14 +44,23 @@
   /** A node process, its settings file and two of the ports that it listens on. */
   record ManagedNode(TestProcess process, Path settings, int callerPort, int readinessPort) {}
 
-  private ManagedMesh(Path directory) {
+  private ManagedMesh(Path directory, Path configuration) {
     this.directory = directory;
-    String configuration = System.getProperty("foxtaildoor.rehearsal");
-    storePort = startStandIn("store", "ManagedStore", List.of("--configuration", configuration));
+    storePort =
+        startStandIn("store", "ManagedStore", List.of("--configuration", configuration.toString()));
   }
 
   static ManagedMesh start() throws IOException {
-    return new ManagedMesh(Files.createTempDirectory("foxtaildoor-managed"));
+    return start(UnaryOperator.identity());
+  }
+
+  /** Starts a mesh whose configuration is changed before the store holds it. */
+  static ManagedMesh start(UnaryOperator<String> change) throws IOException {
+    Path directory = Files.createTempDirectory("foxtaildoor-managed");
+    Path configuration = directory.resolve("configuration.json");
+    String original = Files.readString(Path.of(System.getProperty("foxtaildoor.rehearsal")));
+    Files.writeString(configuration, change.apply(original));
+    return new ManagedMesh(directory, configuration);
   }
 
   /** Starts a stand-in and returns its port. */
@@ -65,6 +75,15 @@
 
   /** Starts an upstream instance and its node, and waits until the node serves requests. */
   ManagedNode startNode(String name, String stopLimit) throws IOException {
+    return startNode(name, stopLimit, "");
+  }
+
+  /**
+   * Starts an upstream instance and its node, and waits until the node serves requests.
+   *
+   * @param moreSettings added to the settings of the node
+   */
+  ManagedNode startNode(String name, String stopLimit, String moreSettings) throws IOException {
     List<Integer> ports = freePorts();
     int instance =
         startStandIn(
@@ -75,15 +94,16 @@
     Files.writeString(
         settings,
         SETTINGS.formatted(
-            name,
-            ports.get(0),
-            ports.get(1),
-            ports.get(2),
-            ports.get(3),
-            ports.get(4),
-            instance,
-            storePort,
-            bounds(stopLimit)));
+                name,
+                ports.get(0),
+                ports.get(1),
+                ports.get(2),
+                ports.get(3),
+                ports.get(4),
+                instance,
+                storePort,
+                bounds(stopLimit))
+            + moreSettings);
     ManagedNode node =
         new ManagedNode(startProcess(name, settings), settings, ports.get(0), ports.get(1));
     Polling.await("requests served by " + name, () -> isServed(node));
--- a/standins/src/main/java/io/foxtaildoor/standins/managed/ManagedInstance.java
+++ b/standins/src/main/java/io/foxtaildoor/standins/managed/ManagedInstance.java
@@ -27,6 +27,10 @@
  */
 public final class ManagedInstance extends HttpStandIn {
   private static final String REQUEST_ID = "X-Foxtaildoor-Request-Id";
+
+  /** Request header that states how many milliseconds the instance takes for the request. */
+  public static final String WORK_MILLIS = "X-Work-Millis";
+
   private static final Duration CALL_TIMEOUT = Duration.ofSeconds(1);
   private static final int MISDIRECTED_REQUEST = 421;
 
@@ -73,7 +77,12 @@
     }
     response.headers().set(REQUEST_ID, requestId);
     response.headers().set("X-Foxtaildoor-Instance-Id", id);
-    answer(channel, response);
+    var unused =
+        eventLoop()
+            .schedule(
+                () -> answer(channel, response),
+                headers.getInt(WORK_MILLIS, 0),
+                TimeUnit.MILLISECONDS);
   }
 
   /**
