Refuse requests that a stopping node may not finish

Cause: two times of the stop did not depend on each other. The node took requests for half of the stop limit plus the time of its announcement to the fleet, and closed 0.4 of the limit later, whatever the deadlines of the requests that it had taken. With a stop limit of 6 s that left 2.4 s for requests of up to 2.5 s.

Change: StopSchedule counts all times of a stop from the signal: callers have 3 s to notice it (half of the stop limit if that is shorter), and connections are closed at 95% of the limit. After the notice StopAdmission takes a request only if its deadline, which the node enforces, lies before that moment; any other is refused as not run at once. So no request taken after the notice can be cut. One taken before may outlast the limit only with a deadline of more than 2.7 s (stop limit 6 s). Streams of other nodes are refused from the end of the notice on as before, which costs them nothing, and have the same longer time to end.

Tests, failing before: ManagedStopIT.lateRequestIsAnsweredOrNotTaken (12 kept connections, lookups and bookings of 2.45 s sent 3.02 to 3.46 s after SIGTERM; 'taken, but never answered').

--- a/product/src/main/java/io/foxtaildoor/connection/caller/CallerConnection.java
+++ b/product/src/main/java/io/foxtaildoor/connection/caller/CallerConnection.java
@@ -200,6 +200,7 @@
                   dependencies.random().get(),
                   this::mayBeCall)
               .read(request, dependencies.configuration().get(), this::newRequestId, now);
+      checkStop(head, now);
       checkProcessorDelay(head, now);
       RequestBody body =
           new RequestBody(
@@ -223,6 +224,14 @@
         : new FoxtaildoorException(ErrorKind.INVALID_INPUT, "the request head is malformed", cause);
   }
 
+  /** Refuses a request that may not end before the stopping node closes its connections. */
+  private void checkStop(RequestHead head, long nowNanos) {
+    if (!dependencies.stopAdmission().accepts(head.deadlineNanos(), nowNanos)) {
+      throw new FoxtaildoorException(
+          ErrorKind.LEAVING, "the node is stopping and may close before the request ends");
+    }
+  }
+
   /**
    * Refuses a request that cannot be served in time because the node's processor is overloaded. A
    * request without an objective is assumed not to be retried. It is refused only if its caller has
--- a/product/src/main/java/io/foxtaildoor/connection/caller/CallerDependencies.java
+++ b/product/src/main/java/io/foxtaildoor/connection/caller/CallerDependencies.java
@@ -4,6 +4,7 @@
 import io.foxtaildoor.process.invariant.Invariants;
 import io.foxtaildoor.process.membership.FleetView;
 import io.foxtaildoor.request.admission.EventLoopGuard;
+import io.foxtaildoor.request.admission.StopAdmission;
 import io.foxtaildoor.request.balance.UpstreamSelector;
 import io.foxtaildoor.request.idempotency.KeyedRequestTable;
 import io.foxtaildoor.request.retry.RetryBudgets;
@@ -25,6 +26,7 @@
     CallerTimeoutTracker timeoutTracker,
     RequestLog requestLog,
     EventLoopGuard processorGuard,
+    StopAdmission stopAdmission,
     Supplier<ConfigurationSnapshot> configuration,
     FleetView fleet,
     LinkClient linkClient,
--- a/product/src/main/java/io/foxtaildoor/process/node/ManagedPlatformServices.java
+++ b/product/src/main/java/io/foxtaildoor/process/node/ManagedPlatformServices.java
@@ -29,17 +29,6 @@
  * and each upstream reports to the node on its host.
  */
 final class ManagedPlatformServices implements PlatformServices {
-  /**
-   * Share of the stop limit for which a stopping node still accepts requests. The platform checks
-   * readiness once a second and moves callers to other nodes only after two failed checks.
-   */
-  private static final double STOP_NOTICE_SHARE = 0.5;
-
-  /**
-   * Share of the stop limit for finishing requests in flight. The rest of the limit is for closing.
-   */
-  private static final double DRAIN_SHARE = 0.4;
-
   private final NodeContext context;
   private final PlatformAdapter adapter;
   private ManagedPlatformConnector connector;
@@ -127,18 +116,9 @@
   }
 
   @Override
-  public CompletableFuture<Void> awaitStopNotice() {
-    return context.scheduler().delay(shareOfStopLimit(STOP_NOTICE_SHARE));
-  }
-
-  @Override
-  public Duration drainTimeout() {
-    return shareOfStopLimit(DRAIN_SHARE);
-  }
-
-  private Duration shareOfStopLimit(double share) {
-    Duration limit = adapter.parseBounds(context.liveSettings().get(PLATFORM_BOUNDS)).gracePeriod();
-    return Duration.ofMillis((long) (limit.toMillis() * share));
+  public StopSchedule stopSchedule() {
+    return StopSchedule.within(
+        adapter.parseBounds(context.liveSettings().get(PLATFORM_BOUNDS)).gracePeriod());
   }
 
   @Override
--- a/product/src/main/java/io/foxtaildoor/process/node/Node.java
+++ b/product/src/main/java/io/foxtaildoor/process/node/Node.java
@@ -53,7 +53,7 @@
 
   private static final Duration EXPIRY_CHECK_INTERVAL = Duration.ofMillis(500);
 
-  /** Time limit for each step of a stop that has no setting of its own. */
+  /** Time limit for each step of a stop that no other limit applies to. */
   private static final Duration STOP_STEP_TIMEOUT = Duration.ofSeconds(5);
 
   /** Time that the listener for callers takes to close its connections at the drain timeout. */
@@ -200,25 +200,31 @@
   }
 
   /**
-   * Stops the node gracefully: announces that it is leaving, refuses new requests as not run, waits
-   * up to the drain timeout for requests in flight, and then closes everything.
+   * Stops the node gracefully: announces that it is leaving, serves callers until they had time to
+   * notice it, refuses new requests as not run, finishes those in flight, and then closes
+   * everything. A request that may not end before that is refused as not run.
    *
    * @return whether all requests finished, so that none was interrupted
    */
   public boolean stop() {
+    StopSchedule schedule = platformServices.stopSchedule();
+    long signalNanos = context.clock().getAsLong();
+    long noticeEndNanos = signalNanos + schedule.notice().toNanos();
+    long closeNanos = signalNanos + schedule.close().toNanos();
     stopping = true;
+    requestPath.stopAdmission().begin(noticeEndNanos, closeNanos);
     LOGGER.log(Level.INFO, "stopping node {0}", context.nodeId());
     localUpstream.rejectAnnouncements();
     control.stopPlatformConnector();
     awaitStep(
         "announce to the cluster that the node is leaving",
         control.membership().leave(),
-        STOP_STEP_TIMEOUT);
+        schedule.notice().isZero() ? STOP_STEP_TIMEOUT : schedule.notice());
     awaitStep(
         "wait for callers to notice the stop",
-        platformServices.awaitStopNotice(),
+        context.scheduler().delay(remaining(noticeEndNanos)),
         STOP_STEP_TIMEOUT);
-    boolean finished = drain();
+    boolean finished = drain(closeNanos);
     awaitStep("flush", platformServices.flush(), STOP_STEP_TIMEOUT);
     close();
     LOGGER.log(
@@ -227,28 +233,27 @@
     return finished;
   }
 
-  private boolean drain() {
-    Duration timeout = platformServices.drainTimeout();
-    long nowNanos = context.clock().getAsLong();
-    long endNanos = nowNanos + timeout.toNanos();
-    CompletableFuture<Boolean> upstreamDrained = requestPath.upstream().beginDrain(nowNanos);
+  private boolean drain(long closeNanos) {
+    CompletableFuture<Boolean> upstreamDrained =
+        requestPath.upstream().beginDrain(context.clock().getAsLong());
     CompletableFuture<Void> peersDrained = peerListener.beginDrain();
-    CompletableFuture<Integer> callersDrained = requestPath.callers().beginDrain(timeout);
+    CompletableFuture<Integer> callersDrained =
+        requestPath.callers().beginDrain(remaining(closeNanos));
     CompletableFuture<Void> operatorsDrained = operatorListener.beginDrain();
     boolean finished =
-        awaitStep("drain requests to the upstream", upstreamDrained, remaining(endNanos));
-    finished &= awaitStep("drain streams of other nodes", peersDrained, remaining(endNanos));
+        awaitStep("drain requests to the upstream", upstreamDrained, remaining(closeNanos));
+    finished &= awaitStep("drain streams of other nodes", peersDrained, remaining(closeNanos));
     finished &=
         awaitStep(
             "drain requests of callers",
             callersDrained.thenApply(cut -> cut == 0),
-            remaining(endNanos).plus(CLOSE_TIMEOUT));
-    finished &= awaitStep("drain operator calls", operatorsDrained, remaining(endNanos));
+            remaining(closeNanos).plus(CLOSE_TIMEOUT));
+    finished &= awaitStep("drain operator calls", operatorsDrained, remaining(closeNanos));
     return finished;
   }
 
   /**
-   * Returns the time left until the end of the drain. All steps of the drain share one limit,
+   * Returns the time left until a moment of the stop. All steps share the moments of the schedule,
    * because together they must end before the process is killed.
    */
   private Duration remaining(long endNanos) {
--- a/product/src/main/java/io/foxtaildoor/process/node/PlatformServices.java
+++ b/product/src/main/java/io/foxtaildoor/process/node/PlatformServices.java
@@ -2,7 +2,6 @@
 
 import io.foxtaildoor.process.operator.OperatorRouter;
 import io.foxtaildoor.process.settings.Settings;
-import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 
@@ -30,14 +29,8 @@
   void openResources(
       OperatorRouter router, ControlPlane control, LocalUpstream upstream, BooleanSupplier ready);
 
-  /**
-   * Completes when callers have had time to notice that the node is stopping. Called before the
-   * node drains.
-   */
-  CompletableFuture<Void> awaitStopNotice();
-
-  /** Returns the longest time for finishing requests once draining has begun. */
-  Duration drainTimeout();
+  /** Returns the times of a planned stop that begins now. */
+  StopSchedule stopSchedule();
 
   /**
    * Completes when all data that must be kept has been written to the platform. Called after the
--- a/product/src/main/java/io/foxtaildoor/process/node/RequestPath.java
+++ b/product/src/main/java/io/foxtaildoor/process/node/RequestPath.java
@@ -24,6 +24,7 @@
 import io.foxtaildoor.process.membership.FleetView;
 import io.foxtaildoor.process.settings.Settings;
 import io.foxtaildoor.request.admission.EventLoopGuard;
+import io.foxtaildoor.request.admission.StopAdmission;
 import io.foxtaildoor.request.balance.UpstreamSelector;
 import io.foxtaildoor.request.idempotency.KeyedRequestTable;
 import io.foxtaildoor.request.retry.RetryBudgets;
@@ -60,6 +61,7 @@
   private final CallerListener callers;
   private final UpstreamServer upstream;
   private final NettyLinkClient links;
+  private final StopAdmission stopAdmission = new StopAdmission();
 
   /** Creates the components without starting them. */
   RequestPath(
@@ -102,6 +104,7 @@
                 timeoutTracker,
                 new RequestLog(),
                 guard,
+                stopAdmission,
                 control.holder()::current,
                 control.membership(),
                 localLinks,
@@ -116,12 +119,12 @@
             context.eventLoops());
     startRetryReports(context, budgets, control.membership());
     control.holder().addListener(callers::configurationApplied);
-    control
-        .holder()
-        .addListener(
-            configuration ->
-                timeoutTracker.applyConfiguration(
-                    routeNames(configuration), longestDeadline(configuration)));
+    control.holder().addListener(configuration -> updateRoutes(timeoutTracker, configuration));
+  }
+
+  private static void updateRoutes(
+      CallerTimeoutTracker tracker, ConfigurationSnapshot configuration) {
+    tracker.applyConfiguration(routeNames(configuration), longestDeadline(configuration));
   }
 
   /** Reports the requests that the local upstream executes to the retry budgets. */
@@ -213,6 +216,11 @@
     return upstream;
   }
 
+  /** Decides which requests are still accepted while the node stops. */
+  StopAdmission stopAdmission() {
+    return stopAdmission;
+  }
+
   /** Closes all remaining connections. */
   void close() {
     callers.close();
--- a/product/src/main/java/io/foxtaildoor/process/node/StandardPlatformServices.java
+++ b/product/src/main/java/io/foxtaildoor/process/node/StandardPlatformServices.java
@@ -77,13 +77,8 @@
   }
 
   @Override
-  public CompletableFuture<Void> awaitStopNotice() {
-    return CompletableFuture.completedFuture(null);
-  }
-
-  @Override
-  public Duration drainTimeout() {
-    return context.settings().get(DRAIN_TIMEOUT);
+  public StopSchedule stopSchedule() {
+    return new StopSchedule(Duration.ZERO, context.settings().get(DRAIN_TIMEOUT));
   }
 
   @Override
--- a/product/src/main/java/io/foxtaildoor/process/settings/NodeSettings.java
+++ b/product/src/main/java/io/foxtaildoor/process/settings/NodeSettings.java
@@ -251,7 +251,8 @@
           "stop.drainTimeout",
           duration(Duration.ZERO, Duration.ofMinutes(10)),
           Duration.ofSeconds(30),
-          "maximum time that a shutdown waits for in-flight requests");
+          "maximum time that a shutdown waits for in-flight requests; on a managed platform its"
+              + " stop limit applies instead");
 
   public static final Setting<LogLevel> LOG_LEVEL =
       optional(
--- a/product/src/test/java/io/foxtaildoor/connection/caller/CallerFixture.java
+++ b/product/src/test/java/io/foxtaildoor/connection/caller/CallerFixture.java
@@ -17,6 +17,7 @@
 import io.foxtaildoor.protocol.TeamConfiguration;
 import io.foxtaildoor.protocol.WireRank;
 import io.foxtaildoor.request.admission.EventLoopGuard;
+import io.foxtaildoor.request.admission.StopAdmission;
 import io.foxtaildoor.request.balance.BalanceSettings;
 import io.foxtaildoor.request.balance.UpstreamSelector;
 import io.foxtaildoor.request.idempotency.KeyedRequestTable;
@@ -55,6 +56,7 @@
   final Invariants invariants = new Invariants((invariant, detail) -> {});
   final CallerMetrics metrics = new CallerMetrics(new SimpleMeterRegistry());
   final EventLoopGuard processorGuard = new EventLoopGuard();
+  final StopAdmission stopAdmission = new StopAdmission();
   final Fleet fleet = new Fleet();
   final RetryBudgets retryBudgets = new RetryBudgets(RetrySettings.defaults(), System.nanoTime());
   final CallerListener listener;
@@ -99,6 +101,7 @@
         new CallerTimeoutTracker(0),
         new RequestLog(),
         processorGuard,
+        stopAdmission,
         () -> configuration,
         fleet,
         linkClient,
--- a/product/src/test/java/io/foxtaildoor/process/node/ManagedStopIT.java
+++ b/product/src/test/java/io/foxtaildoor/process/node/ManagedStopIT.java
@@ -1,6 +1,7 @@
 package io.foxtaildoor.process.node;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotEquals;
 
 import io.foxtaildoor.process.node.ManagedMesh.ManagedNode;
 import java.io.BufferedReader;
@@ -10,8 +11,11 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -24,6 +28,12 @@
   /** Longest time that a request takes, by its route. */
   private static final Duration ROUTE_TIMEOUT = Duration.ofMillis(2_500);
 
+  /**
+   * A connection that ends this soon after a request was sent was closed before the node read the
+   * request.
+   */
+  private static final Duration CROSSING = Duration.ofMillis(200);
+
   private ManagedMesh mesh;
 
   @BeforeMethod
@@ -57,8 +67,51 @@
     }
   }
 
+  /**
+   * Guards against a stopping node that takes requests which it cannot finish before it closes the
+   * connections: the requests ran, and their callers got no answer.
+   */
+  @Test
+  public void lateRequestIsAnsweredOrNotTaken() throws IOException {
+    ManagedNode node = mesh.startNode("node-a", "6s");
+    mesh.startNode("node-b", "6s");
+    List<KeptConnection> connections = new ArrayList<>();
+    for (int i = 0; i < 12; i++) {
+      KeptConnection connection = new KeptConnection(node);
+      connection.send("GET", "/lookup/1", Duration.ZERO);
+      assertEquals(connection.readStatus(), 200);
+      connections.add(connection);
+    }
+    long stopNanos = System.nanoTime();
+    CompletableFuture<Integer> exitCode = CompletableFuture.supplyAsync(node.process()::terminate);
+    List<CompletableFuture<String>> outcomes = new ArrayList<>();
+    for (int i = 0; i < connections.size(); i++) {
+      KeptConnection connection = connections.get(i);
+      String method = i % 2 == 0 ? "GET" : "POST";
+      String path = i % 2 == 0 ? "/lookup/2" : "/book/2";
+      Duration sendAfter = Duration.ofMillis(3_020 + 40 * i);
+      outcomes.add(
+          CompletableFuture.supplyAsync(
+              () -> {
+                pauseUntil(stopNanos + sendAfter.toNanos());
+                return connection.outcome(method, path, Duration.ofMillis(2_450));
+              },
+              task -> new Thread(task, "caller").start()));
+    }
+    for (CompletableFuture<String> outcome : outcomes) {
+      assertNotEquals(outcome.join(), KeptConnection.CUT, node.process().log());
+    }
+    assertEquals(exitCode.join(), Integer.valueOf(0), node.process().log());
+  }
+
+  private static void pauseUntil(long nanos) {
+    Polling.pause(Math.max(0, TimeUnit.NANOSECONDS.toMillis(nanos - System.nanoTime())));
+  }
+
   /** A connection of a caller that is used for several requests. */
   private static final class KeptConnection implements AutoCloseable {
+    static final String CUT = "taken, but never answered";
+
     private final Socket socket;
     private final BufferedReader in;
 
@@ -76,6 +129,18 @@
       socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
     }
 
+    /** Sends a request and returns whether it was answered, not read by the node, or cut. */
+    String outcome(String method, String path, Duration work) {
+      long sentNanos = System.nanoTime();
+      try {
+        send(method, path, work);
+        return "status " + readStatus();
+      } catch (IOException e) {
+        long waitedNanos = System.nanoTime() - sentNanos;
+        return waitedNanos > CROSSING.toNanos() ? CUT : "not read";
+      }
+    }
+
     /** Reads a response and returns its status; fails if the connection ends before. */
     int readStatus() throws IOException {
       String statusLine = readLine();
