Use no instance after a restart before its departure can be ruled out

Cause, as the claim says: the restarted node processed reports after its first read of the stored departure, also when that read had failed. The log shows 'could not be read from the platform; retrying' followed by 'sent its first report, with sequence 6', the late one. A departed instance was only given up once a later read succeeded.

Change: InstanceReportHandler holds the newest report until the departure was read; the answer then decides on it at once. A leaving report or the end of the instance takes effect as before. Without an answer, reports are used from 10 s after the start on, the time after which no report from before the restart can arrive, so a live instance isn't unused for a whole outage. A departure read late is also kept beside one that the new process has seen.

Tests: InstanceReportHandlerTest.RestartWithoutPlatform, seven cases for both ways to leave, live instances, and other ends meanwhile; six failed before ('lists don't have the same size expected [0] but found [1]'). departureIsReadOncePlatformIsAvailableAgain asserted the fault itself, that a departed instance is used at once while the platform is away.

--- a/product/src/main/java/io/foxtaildoor/process/instance/InstanceReportHandler.java
+++ b/product/src/main/java/io/foxtaildoor/process/instance/InstanceReportHandler.java
@@ -16,15 +16,16 @@
  * <p>Reports may be delayed and may come from an earlier incarnation of the instance. An instance
  * that reports that it is leaving gets no new requests from that moment. The departure is
  * acknowledged only after it has been stored on the platform, so that a restarted node does not use
- * the instance again.
+ * the instance again. Until a restarted node has read the stored departure, it uses no instance
+ * whose report may be a delayed one from before the restart.
  */
 public final class InstanceReportHandler {
   private static final System.Logger LOGGER =
       System.getLogger(InstanceReportHandler.class.getName());
 
   /**
-   * Reports may be delayed by several seconds. A report that arrives later than this under the id
-   * of an instance that has ended belongs to a new instance.
+   * Reports may be delayed by several seconds. A report that arrives later than this after the end
+   * of an instance, or after the start of the node, was sent after it.
    */
   private static final Duration MAX_REPORT_DELAY = Duration.ofSeconds(10);
 
@@ -51,7 +52,14 @@
   private final DepartureStore departureStore;
   private final TaskScheduler scheduler;
   private final LongSupplier clock;
+  private final long startNanos;
   private final CompletableFuture<Void> recovered;
+  private boolean storedDepartureKnown;
+  private Incarnation departedBeforeStart;
+
+  /** Newest report of an instance that may have departed before this node started. */
+  private InstanceReport heldReport;
+
   private Incarnation current;
   private long lastSequence;
   private Incarnation lastDeparted;
@@ -74,12 +82,14 @@
     this.departureStore = departureStore;
     this.scheduler = scheduler;
     this.clock = clock;
+    this.startNanos = clock.getAsLong();
     this.recovered = departureStore.read().thenAccept(this::recover);
   }
 
   /**
-   * Restores the last departure that is stored on the platform. Reports are processed even while
-   * the platform is unavailable; the platform is asked again until it answers.
+   * Restores the last departure that is stored on the platform, and uses the instance whose report
+   * was held until then, unless that instance has departed. The platform is asked again until it
+   * answers.
    */
   private synchronized void recover(Optional<DepartureStore.LastDeparture> last) {
     if (last.isEmpty()) {
@@ -93,12 +103,16 @@
           });
       return;
     }
-    if (lastDeparted != null) {
-      return;
+    long nowNanos = clock.getAsLong();
+    storedDepartureKnown = true;
+    departedBeforeStart = last.get().incarnation().orElse(null);
+    if (lastDeparted == null) {
+      lastDeparted = departedBeforeStart;
+      lastDepartedAtNanos = nowNanos;
     }
-    lastDeparted = last.get().incarnation().orElse(null);
-    lastDepartedAtNanos = clock.getAsLong();
-    if (current != null && current.equals(lastDeparted)) {
+    if (heldReport != null) {
+      decideOnHeldReport(nowNanos);
+    } else if (current != null && current.equals(departedBeforeStart)) {
       LOGGER.log(
           Level.WARNING,
           "instance {0} is in use but had departed before the restart; deactivating it",
@@ -107,6 +121,20 @@
     }
   }
 
+  private void decideOnHeldReport(long nowNanos) {
+    InstanceReport report = heldReport;
+    heldReport = null;
+    Incarnation incarnation = report.incarnation();
+    if (hasDeparted(incarnation)
+        || isStale(incarnation)
+        || mayBeDelayedReportOfEndedInstance(report, nowNanos)) {
+      LOGGER.log(Level.INFO, "instance {0} had departed before the restart", incarnation.id());
+      current = null;
+    } else {
+      upstream.activate(report);
+    }
+  }
+
   /** Processes a report; completes with whether the report is acknowledged. */
   public CompletableFuture<Boolean> handleReport(InstanceReport report) {
     return recovered.thenCompose(done -> processReport(report, clock.getAsLong()));
@@ -119,7 +147,7 @@
       LOGGER.log(Level.INFO, "ignored a report of former instance {0}", incarnation.id());
       return acknowledged();
     }
-    if (incarnation.equals(lastDeparted)) {
+    if (hasDeparted(incarnation)) {
       return report.leaving() ? depart(incarnation) : acknowledged();
     }
     boolean isCurrent = incarnation.equals(current);
@@ -147,13 +175,46 @@
           report.service(),
           report.sequence());
     }
-    upstream.activate(report);
+    if (mayHaveDepartedBeforeStart(nowNanos)) {
+      hold(report);
+    } else {
+      heldReport = null;
+      upstream.activate(report);
+    }
     return acknowledged();
   }
 
+  /**
+   * Returns whether the instance of a report that arrives now may have departed before this node
+   * started. An earlier process of this node has then acknowledged the departure.
+   */
+  private boolean mayHaveDepartedBeforeStart(long nowNanos) {
+    return !storedDepartureKnown && nowNanos - startNanos < MAX_REPORT_DELAY.toNanos();
+  }
+
+  private void hold(InstanceReport report) {
+    if (heldReport == null || !heldReport.incarnation().equals(report.incarnation())) {
+      LOGGER.log(
+          Level.WARNING,
+          "instance {0} is not used yet, because the platform does not tell whether it departed"
+              + " before the restart",
+          report.incarnation().id());
+    }
+    heldReport = report;
+  }
+
+  private boolean hasDeparted(Incarnation incarnation) {
+    return incarnation.equals(lastDeparted) || incarnation.equals(departedBeforeStart);
+  }
+
   private boolean isStale(Incarnation incarnation) {
-    return (current != null && incarnation.isOlderThan(current))
-        || (lastDeparted != null && incarnation.isOlderThan(lastDeparted));
+    return isOlder(incarnation, current)
+        || isOlder(incarnation, lastDeparted)
+        || isOlder(incarnation, departedBeforeStart);
+  }
+
+  private static boolean isOlder(Incarnation incarnation, Incarnation known) {
+    return known != null && incarnation.isOlderThan(known);
   }
 
   /**
@@ -204,6 +265,9 @@
       lastDepartedAtNanos = clock.getAsLong();
     }
     lastDeparted = incarnation;
+    if (heldReport != null && heldReport.incarnation().equals(incarnation)) {
+      heldReport = null;
+    }
     if (isNew || departure == null || (departure.isDone() && !departure.join())) {
       departure =
           upstream
--- a/product/src/test/java/io/foxtaildoor/process/instance/InstanceReportHandlerTest.java
+++ b/product/src/test/java/io/foxtaildoor/process/instance/InstanceReportHandlerTest.java
@@ -4,68 +4,12 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
-import io.foxtaildoor.common.ServiceId;
-import io.foxtaildoor.process.platform.InMemoryKeyValueStore;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
-import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
 /** Tests of {@link InstanceReportHandler}. */
-public class InstanceReportHandlerTest {
-  private static final InetSocketAddress ADDRESS =
-      new InetSocketAddress(InetAddress.getLoopbackAddress(), 8080);
-
-  private InMemoryKeyValueStore store;
-  private List<String> events;
-  private List<Runnable> scheduledTasks;
-  private long now;
-
-  @BeforeMethod
-  public void setUp() {
-    store = new InMemoryKeyValueStore();
-    events = new ArrayList<>();
-    scheduledTasks = new ArrayList<>();
-    now = 0;
-  }
-
-  /** Creates the handler of a node process; a second call stands for a restart of the node. */
-  private InstanceReportHandler startNode() {
-    return new InstanceReportHandler(
-        ADDRESS,
-        new InstanceReportHandler.UpstreamControl() {
-          @Override
-          public void activate(InstanceReport report) {
-            events.add("use " + report.incarnation().id());
-          }
-
-          @Override
-          public CompletableFuture<Void> deactivate(Incarnation incarnation) {
-            events.add("release " + incarnation.id());
-            return CompletableFuture.completedFuture(null);
-          }
-        },
-        new DepartureStore(store, ADDRESS),
-        (delayNanos, task) -> scheduledTasks.add(task),
-        () -> now);
-  }
-
-  private static InstanceReport report(String id, long started, boolean leaving, long sequence) {
-    return new InstanceReport(
-        new Incarnation(new InstanceId(id), started),
-        new ServiceId("bookings"),
-        ADDRESS,
-        9,
-        leaving,
-        Duration.ZERO,
-        sequence);
-  }
-
+public class InstanceReportHandlerTest extends InstanceReportHandlerTestBase {
   /** Guards against a delayed report that overrides a newer one of the same instance. */
   @Test
   public void reportWithOldSequenceIsIgnored() {
@@ -175,20 +119,106 @@
     assertEquals(events, List.of("release i-1", "use i-1"));
   }
 
-  /**
-   * Guards against a stored departure that a node never reads because the platform was unavailable
-   * when the node started.
-   */
-  @Test
-  public void departureIsReadOncePlatformIsAvailableAgain() {
-    startNode().handleReport(report("i-1", 100, true, 5)).join();
-    events.clear();
-    store.setDown(true);
-    InstanceReportHandler restarted = startNode();
-    restarted.handleReport(report("i-1", 100, false, 4)).join();
-    assertEquals(events, List.of("use i-1"));
-    store.setDown(false);
-    List.copyOf(scheduledTasks).forEach(Runnable::run);
-    assertEquals(events, List.of("use i-1", "release i-1"));
+  /** Tests of a node that restarts while the platform does not answer. */
+  public static final class RestartWithoutPlatform extends InstanceReportHandlerTestBase {
+    /** Guards against a departed instance that is used again because of a delayed report. */
+    @Test
+    public void departedInstanceIsNotUsed() {
+      startNode().handleReport(report("i-1", 100, true, 5)).join();
+      InstanceReportHandler restarted = restartWithoutPlatform();
+      assertTrue(restarted.handleReport(report("i-1", 100, false, 4)).join());
+      assertEquals(events, List.of());
+      restorePlatform();
+      assertEquals(events, List.of());
+      assertTrue(restarted.handleReport(report("i-1", 100, false, 4)).join());
+      assertEquals(events, List.of());
+    }
+
+    /**
+     * Guards against the same for an instance that ended without a leaving report while the node
+     * knew only its id.
+     */
+    @Test
+    public void instanceThatEndedUnderKnownIdIsNotUsed() {
+      startNode().handleEnd(new InstanceId("i-1")).join();
+      InstanceReportHandler restarted = restartWithoutPlatform();
+      restarted.handleReport(report("i-1", 100, false, 28)).join();
+      restorePlatform();
+      restarted.handleReport(report("i-1", 100, false, 29)).join();
+      assertEquals(events, List.of());
+    }
+
+    /** Guards against the same while another instance ends before the platform answers. */
+    @Test
+    public void departedInstanceIsNotUsedAfterEndOfAnother() {
+      startNode().handleReport(report("i-2", 200, true, 5)).join();
+      InstanceReportHandler restarted = restartWithoutPlatform();
+      restarted.handleEnd(new InstanceId("i-1")).join();
+      events.clear();
+      restarted.handleReport(report("i-2", 200, false, 3)).join();
+      restorePlatform();
+      restarted.handleReport(report("i-2", 200, false, 4)).join();
+      assertEquals(events, List.of());
+    }
+
+    /** Guards against a live instance that waits for its next report once the platform answers. */
+    @Test
+    public void liveInstanceIsUsedOncePlatformIsAvailableAgain() {
+      startNode().handleReport(report("i-1", 100, true, 5)).join();
+      InstanceReportHandler restarted = restartWithoutPlatform();
+      restarted.handleReport(report("i-2", 200, false, 1)).join();
+      assertEquals(events, List.of());
+      restorePlatform();
+      assertEquals(events, List.of("use i-2"));
+    }
+
+    /** Guards against a live instance that is unused for the whole of a long outage. */
+    @Test
+    public void liveInstanceIsUsedOnceNoReportCanBeDelayed() {
+      InstanceReportHandler restarted = restartWithoutPlatform();
+      restarted.handleReport(report("i-1", 100, false, 8)).join();
+      now += TimeUnit.SECONDS.toNanos(9);
+      restarted.handleReport(report("i-1", 100, false, 14)).join();
+      assertEquals(events, List.of());
+      now += TimeUnit.SECONDS.toNanos(1);
+      restarted.handleReport(report("i-1", 100, false, 15)).join();
+      assertEquals(events, List.of("use i-1"));
+    }
+
+    /** Guards against an instance that is used although it left before the platform answered. */
+    @Test
+    public void instanceThatLeavesMeanwhileIsNotUsed() {
+      InstanceReportHandler restarted = restartWithoutPlatform();
+      restarted.handleReport(report("i-1", 100, false, 8)).join();
+      assertFalse(restarted.handleEnd(new InstanceId("i-1")).join());
+      restorePlatform();
+      assertEquals(events, List.of("release i-1"));
+    }
+
+    /**
+     * Guards against a stored departure that a node never reads because the platform was
+     * unavailable when the node started.
+     */
+    @Test
+    public void departureIsReadOncePlatformIsAvailableAgain() {
+      startNode().handleReport(report("i-1", 100, true, 5)).join();
+      InstanceReportHandler restarted = restartWithoutPlatform();
+      now += TimeUnit.SECONDS.toNanos(10);
+      restarted.handleReport(report("i-1", 100, false, 4)).join();
+      assertEquals(events, List.of("use i-1"));
+      restorePlatform();
+      assertEquals(events, List.of("use i-1", "release i-1"));
+    }
+
+    private InstanceReportHandler restartWithoutPlatform() {
+      events.clear();
+      store.setDown(true);
+      return startNode();
+    }
+
+    private void restorePlatform() {
+      store.setDown(false);
+      List.copyOf(scheduledTasks).forEach(Runnable::run);
+    }
   }
 }
