Join through the sender of a datagram when no contact is known

Cause: contact addresses are read from the store only. Other nodes go on sending datagrams to the restarted node's address, from which it learned the version of the configuration, but in a quiet fleet these carry no records of nodes, and without a contact address no state exchange starts.

Change: while a node has not joined and knows no contact, it exchanges state with the sender of a datagram.

Test: SwimCoreTest.nodeRestartedWithoutContactsRejoins; before: 'condition not met within PT5S'.

--- a/product/src/main/java/io/foxtaildoor/process/membership/StateExchangeScheduler.java
+++ b/product/src/main/java/io/foxtaildoor/process/membership/StateExchangeScheduler.java
@@ -138,6 +138,17 @@
     }
   }
 
+  /**
+   * Requests an exchange with the sender of a datagram while the node has not joined and knows no
+   * contact address. The platform that holds the addresses may be down when a node restarts, and
+   * other nodes still send datagrams to its address.
+   */
+  void joinThroughSender(InetSocketAddress sender, long nowNanos) {
+    if (!joined && contacts.isEmpty() && !exchangeRunning) {
+      request(sender, nowNanos);
+    }
+  }
+
   /** Handles the reply to a call; a null reply means that the call failed. */
   void onReply(long id, Frame reply, long nowNanos) {
     if (!exchangeRunning || id != callId) {
--- a/product/src/main/java/io/foxtaildoor/process/membership/SwimCore.java
+++ b/product/src/main/java/io/foxtaildoor/process/membership/SwimCore.java
@@ -148,6 +148,7 @@
   void onDatagram(InetSocketAddress from, Datagram datagram, long nowNanos) {
     NodeId sender = new NodeId(datagram.getSender());
     fleet.checkSenderAddress(from, sender, datagram.getSenderIncarnation(), nowNanos);
+    exchangeScheduler.joinThroughSender(from, nowNanos);
     long incarnation = local.record().incarnation();
     mergeUpdates(datagram, nowNanos);
     boolean refuted = local.record().incarnation() != incarnation;
--- a/product/src/test/java/io/foxtaildoor/process/membership/FakeNetwork.java
+++ b/product/src/test/java/io/foxtaildoor/process/membership/FakeNetwork.java
@@ -119,13 +119,18 @@
 
   /** Starts a process on a host; one that already runs there is replaced without leaving. */
   Node start(int host, long incarnation) {
-    NodeRecord self = record("node-" + host + "-" + startedProcesses++, host, incarnation);
-    Node node = new Node(self, settings, random);
-    nodes.put(self.address(), node);
     List<InetSocketAddress> contacts = new ArrayList<>();
     for (int contact = 0; contact < 3; contact++) {
       contacts.add(record("contact", contact, 1).address());
     }
+    return start(host, incarnation, contacts);
+  }
+
+  /** Starts a process on a host with the given contact addresses. */
+  Node start(int host, long incarnation, List<InetSocketAddress> contacts) {
+    NodeRecord self = record("node-" + host + "-" + startedProcesses++, host, incarnation);
+    Node node = new Node(self, settings, random);
+    nodes.put(self.address(), node);
     node.core.setContacts(contacts);
     node.core.start(now);
     return node;
--- a/product/src/test/java/io/foxtaildoor/process/membership/SwimCoreTest.java
+++ b/product/src/test/java/io/foxtaildoor/process/membership/SwimCoreTest.java
@@ -112,6 +112,22 @@
           paused.changesByState.containsKey(NodeState.DEAD), paused.changesByState.toString());
     }
 
+    /**
+     * Guards against a restarted node that knows no instance while the platform, which holds the
+     * contact addresses, is down: other nodes still send datagrams to its address.
+     */
+    @Test
+    public void nodeRestartedWithoutContactsRejoins() {
+      List<Node> fleet = new ArrayList<>();
+      FakeNetwork network = joinedFleet(12, 10, fleet);
+      // By now gossip has spread all records and no longer repeats them.
+      network.run(Duration.ofMinutes(2));
+      network.kill(fleet.get(4));
+      Node restarted = network.start(4, 200, List.of());
+      network.runUntil(Duration.ofSeconds(5), () -> restarted.liveNodeCount() == 10);
+      assertTrue(restarted.joined);
+    }
+
     /**
      * Guards against joins that fail while many nodes restart, and against ids of previous
      * processes that remain live.
