Fail a response without a length whose connection breaks on a write

Cause: a reset that a read meets detaches the exchange before the connection closes. One that a write meets did not: Netty closes the channel after a failed write, the decoder takes that for the regular end of a response without a length, and the exchange, still attached, forwards what it has.

Change: a failed write of a head or a body ends the exchange as an error of the connection does, with an unknown outcome, before the close.

--- a/product/src/main/java/io/foxtaildoor/connection/upstream/UpstreamConnection.java
+++ b/product/src/main/java/io/foxtaildoor/connection/upstream/UpstreamConnection.java
@@ -177,7 +177,7 @@
         close();
         listener.requestNotWritten(future.cause());
       } else {
-        close();
+        fail(future.cause());
       }
     }
   }
@@ -188,6 +188,19 @@
     }
   }
 
+  /**
+   * Ends the exchange after an error of the connection. The exchange is detached before the close,
+   * because the decoder would take the close for the regular end of a response without a length.
+   */
+  private void fail(Throwable cause) {
+    ExchangeListener last = listener;
+    listener = null;
+    close();
+    if (last != null) {
+      last.connectionLost("the connection to the upstream failed: " + cause.getMessage());
+    }
+  }
+
   boolean isWritable() {
     return channel.isWritable();
   }
@@ -205,7 +218,7 @@
               if (written.isSuccess()) {
                 taken.run();
               } else {
-                close();
+                fail(written.cause());
               }
             });
   }
@@ -219,7 +232,7 @@
                 requestWritten = true;
                 finishIfDone();
               } else {
-                close();
+                fail(written.cause());
               }
             });
   }
@@ -302,14 +315,7 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-    // The exchange is detached before the close, because the decoder would take the close for the
-    // regular end of a response without a length.
-    ExchangeListener last = listener;
-    listener = null;
-    close();
-    if (last != null) {
-      last.connectionLost("the connection to the upstream failed: " + cause.getMessage());
-    }
+    fail(cause);
   }
 
   @Override
