Keep reports of another writer from hiding those of the instance

Cause: the adapter checked only the fields that the node uses, and the handler took the writer's start, which is later than the instance's, for that of a new incarnation. Reports of an earlier start were then acknowledged as outdated for good, also leaving ones.

A leaving report that has no effect on the instance in use is not acknowledged, and one takes effect whatever its sequence number. An earlier start counts as outdated for 10 s after the last sign of the later instance only, so that an instance whose clock was set back is used again.

--- a/product/src/main/java/io/foxtaildoor/process/instance/InstanceReportHandler.java
+++ b/product/src/main/java/io/foxtaildoor/process/instance/InstanceReportHandler.java
@@ -1,5 +1,6 @@
 package io.foxtaildoor.process.instance;
 
+import io.foxtaildoor.common.ServiceId;
 import io.foxtaildoor.common.TaskScheduler;
 import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
@@ -48,6 +49,7 @@
   }
 
   private final InetSocketAddress address;
+  private final Optional<ServiceId> service;
   private final UpstreamControl upstream;
   private final DepartureStore departureStore;
   private final TaskScheduler scheduler;
@@ -62,6 +64,7 @@
 
   private Incarnation current;
   private long lastSequence;
+  private long lastReportAtNanos;
   private Incarnation lastDeparted;
   private long lastDepartedAtNanos;
   private CompletableFuture<Boolean> departure;
@@ -69,15 +72,19 @@
   /**
    * Creates a handler for the reports of the instance at an address.
    *
+   * @param service service of the instance; reports of other services are ignored. Empty if the
+   *     instance may belong to any service
    * @param clock monotonic time in nanoseconds
    */
   public InstanceReportHandler(
       InetSocketAddress address,
+      Optional<ServiceId> service,
       UpstreamControl upstream,
       DepartureStore departureStore,
       TaskScheduler scheduler,
       LongSupplier clock) {
     this.address = address;
+    this.service = service;
     this.upstream = upstream;
     this.departureStore = departureStore;
     this.scheduler = scheduler;
@@ -126,7 +133,7 @@
     heldReport = null;
     Incarnation incarnation = report.incarnation();
     if (hasDeparted(incarnation)
-        || isStale(incarnation)
+        || isStale(incarnation, nowNanos)
         || mayBeDelayedReportOfEndedInstance(report, nowNanos)) {
       LOGGER.log(Level.INFO, "instance {0} had departed before the restart", incarnation.id());
       current = null;
@@ -143,9 +150,16 @@
   private synchronized CompletableFuture<Boolean> processReport(
       InstanceReport report, long nowNanos) {
     Incarnation incarnation = report.incarnation();
-    if (isStale(incarnation) || !report.address().equals(address)) {
+    if (!isOfLocalInstance(report)) {
+      LOGGER.log(
+          Level.WARNING,
+          "ignored a report of instance {0} with another address or service",
+          incarnation.id());
+      return acknowledgeIgnored(report);
+    }
+    if (isStale(incarnation, nowNanos)) {
       LOGGER.log(Level.INFO, "ignored a report of former instance {0}", incarnation.id());
-      return acknowledged();
+      return acknowledgeIgnored(report);
     }
     if (hasDeparted(incarnation)) {
       return report.leaving() ? depart(incarnation) : acknowledged();
@@ -159,11 +173,13 @@
           report.sequence());
       return acknowledged();
     }
-    if (isCurrent && report.sequence() <= lastSequence) {
+    // A leaving instance stays so, whatever the order in which its reports arrive.
+    if (isCurrent && report.sequence() <= lastSequence && !report.leaving()) {
       return acknowledged();
     }
     current = incarnation;
     lastSequence = report.sequence();
+    lastReportAtNanos = nowNanos;
     if (report.leaving()) {
       return depart(incarnation);
     }
@@ -207,14 +223,36 @@
     return incarnation.equals(lastDeparted) || incarnation.equals(departedBeforeStart);
   }
 
-  private boolean isStale(Incarnation incarnation) {
-    return isOlder(incarnation, current)
-        || isOlder(incarnation, lastDeparted)
-        || isOlder(incarnation, departedBeforeStart);
+  private boolean isOfLocalInstance(InstanceReport report) {
+    return report.address().equals(address) && service.map(report.service()::equals).orElse(true);
+  }
+
+  /**
+   * Acknowledges a report that has no effect, unless it says that the instance in use is leaving:
+   * an acknowledged instance must get no more requests.
+   */
+  private CompletableFuture<Boolean> acknowledgeIgnored(InstanceReport report) {
+    boolean inUse =
+        current != null && current.id().equals(report.incarnation().id()) && !hasDeparted(current);
+    return CompletableFuture.completedFuture(!report.leaving() || !inUse);
+  }
+
+  /**
+   * Returns whether a report comes from an instance that started before a known one and has ended.
+   * Long after the last sign of the known instance, the report comes from a new one whose clock was
+   * set back.
+   */
+  private boolean isStale(Incarnation incarnation, long nowNanos) {
+    return isStaleBeside(current, lastReportAtNanos, incarnation, nowNanos)
+        || isStaleBeside(lastDeparted, lastDepartedAtNanos, incarnation, nowNanos)
+        || isStaleBeside(departedBeforeStart, startNanos, incarnation, nowNanos);
   }
 
-  private static boolean isOlder(Incarnation incarnation, Incarnation known) {
-    return known != null && incarnation.isOlderThan(known);
+  private static boolean isStaleBeside(
+      Incarnation known, long knownUntilNanos, Incarnation incarnation, long nowNanos) {
+    return known != null
+        && incarnation.isOlderThan(known)
+        && nowNanos - knownUntilNanos < MAX_REPORT_DELAY.toNanos();
   }
 
   /**
--- a/product/src/main/java/io/foxtaildoor/process/node/ManagedPlatformServices.java
+++ b/product/src/main/java/io/foxtaildoor/process/node/ManagedPlatformServices.java
@@ -4,6 +4,7 @@
 import static io.foxtaildoor.process.settings.NodeSettings.READINESS_ENDPOINT;
 import static io.foxtaildoor.process.settings.NodeSettings.REPORTS_ENDPOINT;
 import static io.foxtaildoor.process.settings.NodeSettings.UPSTREAM_ENDPOINT;
+import static io.foxtaildoor.process.settings.NodeSettings.UPSTREAM_SERVICE;
 
 import io.foxtaildoor.common.ErrorKind;
 import io.foxtaildoor.common.FoxtaildoorException;
@@ -71,6 +72,7 @@
     InstanceReportHandler reportHandler =
         new InstanceReportHandler(
             instanceAddress,
+            context.settings().get(UPSTREAM_SERVICE),
             new LocalUpstreamControl(upstream),
             new DepartureStore(connector.store(), instanceAddress),
             context.scheduler(),
--- a/product/src/test/java/io/foxtaildoor/process/instance/InstanceReportHandlerTest.java
+++ b/product/src/test/java/io/foxtaildoor/process/instance/InstanceReportHandlerTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import io.foxtaildoor.common.ServiceId;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.testng.annotations.Test;
@@ -119,6 +120,77 @@
     assertEquals(events, List.of("release i-1", "use i-1"));
   }
 
+  /** Tests of reports that another writer sends under the id of the instance. */
+  public static final class ReportsOfAnotherWriter extends InstanceReportHandlerTestBase {
+    private static InstanceReport strayReport(long started) {
+      InstanceReport report = report("i-1", started, false, 1);
+      return new InstanceReport(
+          report.incarnation(),
+          new ServiceId("unknown"),
+          report.address(),
+          report.capacity(),
+          report.leaving(),
+          report.remainingWarmUp(),
+          report.sequence());
+    }
+
+    /**
+     * Guards against a report of an unknown service that replaces the instance, whose own reports
+     * are then taken for those of an earlier one.
+     */
+    @Test
+    public void reportOfAnotherServiceIsIgnored() {
+      InstanceReportHandler handler = startNode();
+      handler.handleReport(report("i-1", 100, false, 1)).join();
+      handler.handleReport(strayReport(900)).join();
+      assertTrue(handler.handleReport(report("i-1", 100, true, 2)).join());
+      assertEquals(events, List.of("use i-1", "release i-1"));
+    }
+
+    /** Guards against the same after a restart, when the node knows no instance yet. */
+    @Test
+    public void reportOfAnotherServiceAfterRestartIsIgnored() {
+      InstanceReportHandler restarted = startNode();
+      restarted.handleReport(strayReport(900)).join();
+      restarted.handleReport(report("i-1", 100, false, 7)).join();
+      assertTrue(restarted.handleReport(report("i-1", 100, true, 8)).join());
+      assertEquals(events, List.of("use i-1", "release i-1"));
+    }
+
+    /** Guards against a leaving report that is acknowledged without effect. */
+    @Test
+    public void leavingReportWithoutEffectIsNotAcknowledged() {
+      InstanceReportHandler handler = startNode();
+      handler.handleReport(report("i-1", 900, false, 1)).join();
+      assertFalse(handler.handleReport(report("i-1", 100, true, 8)).join());
+    }
+
+    /** Guards against a leaving report that is ignored because of a later sequence number. */
+    @Test
+    public void leavingReportWithOldSequenceDeactivatesInstance() {
+      InstanceReportHandler handler = startNode();
+      handler.handleReport(report("i-1", 100, false, 99)).join();
+      assertTrue(handler.handleReport(report("i-1", 100, true, 8)).join());
+      assertEquals(events, List.of("use i-1", "release i-1"));
+    }
+
+    /**
+     * Guards against an instance that is ignored for good because it has an earlier start time than
+     * one before it: the clock of its host was set back.
+     */
+    @Test
+    public void instanceWithEarlierStartIsUsedOnceTheOtherIsSilent() {
+      InstanceReportHandler handler = startNode();
+      handler.handleReport(report("i-1", 900, false, 1)).join();
+      now += TimeUnit.SECONDS.toNanos(9);
+      handler.handleReport(report("i-2", 100, false, 1)).join();
+      assertEquals(events, List.of("use i-1"));
+      now += TimeUnit.SECONDS.toNanos(1);
+      handler.handleReport(report("i-2", 100, false, 2)).join();
+      assertEquals(events, List.of("use i-1", "use i-2"));
+    }
+  }
+
   /** Tests of a node that restarts while the platform does not answer. */
   public static final class RestartWithoutPlatform extends InstanceReportHandlerTestBase {
     /** Guards against a departed instance that is used again because of a delayed report. */
--- a/product/src/test/java/io/foxtaildoor/process/instance/InstanceReportHandlerTestBase.java
+++ b/product/src/test/java/io/foxtaildoor/process/instance/InstanceReportHandlerTestBase.java
@@ -7,6 +7,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.testng.annotations.BeforeMethod;
 
@@ -15,6 +16,8 @@
   static final InetSocketAddress ADDRESS =
       new InetSocketAddress(InetAddress.getLoopbackAddress(), 8080);
 
+  static final ServiceId SERVICE = new ServiceId("bookings");
+
   InMemoryKeyValueStore store;
   List<String> events;
   List<Runnable> scheduledTasks;
@@ -32,6 +35,7 @@
   InstanceReportHandler startNode() {
     return new InstanceReportHandler(
         ADDRESS,
+        Optional.of(SERVICE),
         new InstanceReportHandler.UpstreamControl() {
           @Override
           public void activate(InstanceReport report) {
@@ -52,7 +56,7 @@
   static InstanceReport report(String id, long started, boolean leaving, long sequence) {
     return new InstanceReport(
         new Incarnation(new InstanceId(id), started),
-        new ServiceId("bookings"),
+        SERVICE,
         ADDRESS,
         9,
         leaving,
