Replace idle connections to the platform after a call without a response

A node that had given up its watch read the key over the next pooled connection, which was silent too and cost a further second, and so on.

Change: a call that times out marks all connections of the endpoint that are open at that time, and the pool closes them instead of handing them out.

Test: HttpPlatformClientResponseTest.idleConnectionsAreReplacedAfterTimeout; before: 'not done: Unavailable[reason=timed out waiting for the response]'.

--- a/product/src/main/java/io/foxtaildoor/process/platform/Endpoint.java
+++ b/product/src/main/java/io/foxtaildoor/process/platform/Endpoint.java
@@ -6,7 +6,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.pool.AbstractChannelPoolHandler;
-import io.netty.channel.pool.ChannelHealthChecker;
 import io.netty.channel.pool.FixedChannelPool;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -16,13 +15,18 @@
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.AttributeKey;
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.net.URI;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.LongSupplier;
 
-/** One endpoint of the platform with its pool of keep-alive connections. */
+/**
+ * One endpoint of the platform with its pool of keep-alive connections. After a call without a
+ * response the pooled connections are replaced, because a fault that silences one connection
+ * usually silences all that are open.
+ */
 @SuppressWarnings("FutureReturnValueIgnored") // The pool reports failures at the next acquire.
 final class Endpoint implements AutoCloseable {
   /** Largest response. Values are sent as Base64, which makes a value of 1 MB a third longer. */
@@ -30,6 +34,9 @@
 
   private static final int MAX_PENDING_ACQUIRES = 256;
 
+  private static final AttributeKey<Long> OPENED_NANOS =
+      AttributeKey.valueOf(Endpoint.class, "openedNanos");
+
   /** Time limit for closing the pool, needed only if the event loop hangs during shutdown. */
   private static final long CLOSE_TIMEOUT_MILLIS = 1_000;
 
@@ -37,9 +44,13 @@
   private final FixedChannelPool pool;
   private final LongSupplier clock;
 
+  /** Connections that were opened before this monotonic time are not used again. */
+  private volatile long usableSinceNanos;
+
   Endpoint(URI uri, PlatformSettings settings, EventLoopGroup group, LongSupplier clock) {
     this.uri = uri;
     this.clock = clock;
+    usableSinceNanos = clock.getAsLong();
     int connectMillis = (int) settings.connectTimeout().toMillis();
     Bootstrap bootstrap =
         new Bootstrap()
@@ -51,14 +62,19 @@
     pool =
         new FixedChannelPool(
             bootstrap,
-            new PipelineInitializer(),
-            ChannelHealthChecker.ACTIVE,
+            new ConnectionInitializer(),
+            this::checkUsable,
             FixedChannelPool.AcquireTimeoutAction.FAIL,
             connectMillis,
             settings.connectionsPerEndpoint(),
             MAX_PENDING_ACQUIRES);
   }
 
+  private Future<Boolean> checkUsable(Channel channel) {
+    boolean isRecent = channel.attr(OPENED_NANOS).get() - usableSinceNanos >= 0;
+    return channel.eventLoop().newSucceededFuture(channel.isActive() && isRecent);
+  }
+
   /** Sends a request and waits for its response. The future never completes exceptionally. */
   CompletableFuture<ExchangeOutcome> call(PlatformRequest request, long deadlineNanos) {
     CompletableFuture<ExchangeOutcome> result = new CompletableFuture<>();
@@ -95,6 +111,9 @@
             toHttpRequest(request),
             remaining,
             outcome -> {
+              if (outcome instanceof ExchangeOutcome.Failed failed && failed.timedOut()) {
+                usableSinceNanos = clock.getAsLong();
+              }
               pool.release(channel);
               result.complete(outcome);
             });
@@ -125,9 +144,10 @@
     pool.closeAsync().awaitUninterruptibly(CLOSE_TIMEOUT_MILLIS);
   }
 
-  private static final class PipelineInitializer extends AbstractChannelPoolHandler {
+  private final class ConnectionInitializer extends AbstractChannelPoolHandler {
     @Override
     public void channelCreated(Channel channel) {
+      channel.attr(OPENED_NANOS).set(clock.getAsLong());
       channel.pipeline().addLast(new HttpClientCodec());
       channel.pipeline().addLast(new HttpObjectAggregator(MAX_RESPONSE_BYTES));
       channel.pipeline().addLast(new ExchangeHandler());
--- a/product/src/main/java/io/foxtaildoor/process/platform/ExchangeHandler.java
+++ b/product/src/main/java/io/foxtaildoor/process/platform/ExchangeHandler.java
@@ -30,7 +30,7 @@
         context
             .executor()
             .schedule(
-                () -> abort("timed out waiting for the response"),
+                () -> abort("timed out waiting for the response", true),
                 timeoutNanos,
                 TimeUnit.NANOSECONDS);
     context
@@ -73,8 +73,12 @@
   }
 
   private void abort(String reason) {
+    abort(reason, false);
+  }
+
+  private void abort(String reason, boolean timedOut) {
     context.close();
-    complete(new ExchangeOutcome.Failed(reason));
+    complete(new ExchangeOutcome.Failed(reason, timedOut));
   }
 
   private void complete(ExchangeOutcome outcome) {
--- a/product/src/main/java/io/foxtaildoor/process/platform/ExchangeOutcome.java
+++ b/product/src/main/java/io/foxtaildoor/process/platform/ExchangeOutcome.java
@@ -9,6 +9,10 @@
   /** No byte of the request was written to a connection. */
   record NotSent(String reason) implements ExchangeOutcome {}
 
-  /** The exchange failed after the request may have been written. */
-  record Failed(String reason) implements ExchangeOutcome {}
+  /**
+   * The exchange failed after the request may have been written.
+   *
+   * @param timedOut whether no response arrived in time on a connection that stayed open
+   */
+  record Failed(String reason, boolean timedOut) implements ExchangeOutcome {}
 }
--- a/product/src/test/java/io/foxtaildoor/process/platform/HttpPlatformClientResponseTest.java
+++ b/product/src/test/java/io/foxtaildoor/process/platform/HttpPlatformClientResponseTest.java
@@ -23,8 +23,11 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Queue;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import org.testng.annotations.AfterMethod;
@@ -112,6 +115,44 @@
     return "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
   }
 
+  /**
+   * Guards against calls that wait on one silent connection after the other: when one connection
+   * goes silent, the idle ones to the same endpoint usually have done so too.
+   */
+  @Test
+  public void idleConnectionsAreReplacedAfterTimeout() {
+    CountDownLatch bothOpen = new CountDownLatch(2);
+    Set<Socket> silent = ConcurrentHashMap.newKeySet();
+    Exchange open =
+        socket -> {
+          silent.add(socket);
+          bothOpen.countDown();
+          awaitQuietly(bothOpen);
+          respondWith(ok(GOOD)).respond(socket);
+        };
+    Exchange respondUnlessSilent =
+        socket -> {
+          if (!silent.contains(socket)) {
+            respondWith(ok(GOOD)).respond(socket);
+          }
+        };
+    scriptedExchanges.addAll(List.of(open, open, respondUnlessSilent, respondUnlessSilent));
+    var first = client.get("k");
+    var second = client.get("k");
+    done(first);
+    done(second);
+    assertTrue(await(client.get("k")) instanceof PlatformResult.Unavailable);
+    done(client.get("k"));
+  }
+
+  private static void awaitQuietly(CountDownLatch latch) throws IOException {
+    try {
+      latch.await();
+    } catch (InterruptedException e) {
+      throw new IOException(e);
+    }
+  }
+
   @DataProvider
   Object[][] malformed() {
     return new Object[][] {
