--- a/product/src/test/java/io/foxtaildoor/connection/upstream/BrokenResponseTest.java
+++ b/product/src/test/java/io/foxtaildoor/connection/upstream/BrokenResponseTest.java
@@ -125,6 +125,22 @@
 
   /** Tests of responses without end. */
   public static final class EndlessResponses extends SignedUpstreamTestBase {
+    /** Writes a text without end, and opens the latch when the connection is closed. */
+    private static ScriptedUpstream.Script endless(
+        String start, String repeated, CountDownLatch closed) {
+      return connection -> {
+        connection.readHead();
+        try {
+          connection.write(start);
+          while (true) {
+            connection.write(repeated);
+          }
+        } finally {
+          closed.countDown();
+        }
+      };
+    }
+
     @DataProvider
     public Object[][] endlessHeads() {
       return new Object[][] {
@@ -144,19 +160,7 @@
     @Test(dataProvider = "endlessHeads")
     public void endlessHeadIsCutOff(String fault, String start, String repeated) throws Exception {
       CountDownLatch closed = new CountDownLatch(1);
-      Call call =
-          call(
-              connection -> {
-                connection.readHead();
-                try {
-                  connection.write(start);
-                  while (true) {
-                    connection.write(repeated);
-                  }
-                } finally {
-                  closed.countDown();
-                }
-              });
+      Call call = call(endless(start, repeated, closed));
       ErrorKind kind = call.failedWith(false);
       assertTrue(
           kind == ErrorKind.BAD_UPSTREAM_ANSWER || kind == ErrorKind.TIMEOUT, fault + " " + kind);
@@ -190,19 +194,7 @@
     @Test(dataProvider = "endlessBodies")
     public void endlessBodyIsCutOff(String fault, String start, String repeated) throws Exception {
       CountDownLatch closed = new CountDownLatch(1);
-      ScriptedUpstream.Script script =
-          connection -> {
-            connection.readHead();
-            try {
-              connection.write(start);
-              while (true) {
-                connection.write(repeated);
-              }
-            } finally {
-              closed.countDown();
-            }
-          };
-      try (ScriptedUpstream upstream = new ScriptedUpstream(script)) {
+      try (ScriptedUpstream upstream = new ScriptedUpstream(endless(start, repeated, closed))) {
         fixture.attach(upstream.address());
         Call call = fixture.call(requestHead("GET", true).setRemainingMicros(2_000_000));
         ErrorKind kind = call.failedWith(false);
