--- a/product/src/main/java/io/foxtaildoor/process/platform/ReaderSelection.java
+++ b/product/src/main/java/io/foxtaildoor/process/platform/ReaderSelection.java
@@ -26,7 +26,10 @@
    */
   private static final int MAX_READERS = 32;
 
-  /** Together with the call timeout of 1 s it leaves 1 s of the usual 3 s for the other nodes. */
+  /**
+   * A silent connection is noticed after this time and the call timeout of 1 s. That leaves 1 s for
+   * passing on a change that the nodes must act on 3 s after the silence.
+   */
   private static final Duration LEAD_READER_WAIT = Duration.ofSeconds(1);
 
   private static final Duration READER_WAIT = Duration.ofSeconds(4);
