Give the tests of the planned stop more room on a busy machine

The request of requestIsAnsweredWithinStopLimitOfPlatform was sent 0.1 s before callers may be turned away, which a loaded machine can miss. It is sent 1 s before now and takes 3 s instead of 2.3 s. Routes allow 3.5 s, so lateRequestIsAnsweredOrNotTaken also plays requests that must be refused. What is asserted stays.

--- a/product/src/test/java/io/foxtaildoor/process/node/ManagedStopIT.java
+++ b/product/src/test/java/io/foxtaildoor/process/node/ManagedStopIT.java
@@ -26,7 +26,7 @@
  */
 public class ManagedStopIT {
   /** Longest time that a request takes, by its route. */
-  private static final Duration ROUTE_TIMEOUT = Duration.ofMillis(2_500);
+  private static final Duration ROUTE_TIMEOUT = Duration.ofMillis(3_500);
 
   /**
    * A connection that ends this soon after a request was sent was closed before the node read the
@@ -60,8 +60,8 @@
       assertEquals(connection.readStatus(), 200);
       CompletableFuture<Integer> exitCode =
           CompletableFuture.supplyAsync(node.process()::terminate);
-      Polling.pause(2_900);
-      connection.send("GET", "/lookup/2", Duration.ofMillis(2_300));
+      Polling.pause(2_000);
+      connection.send("GET", "/lookup/2", Duration.ofSeconds(3));
       assertEquals(connection.readStatus(), 200, node.process().log());
       assertEquals(exitCode.join(), Integer.valueOf(0), node.process().log());
     }
