Log responses to other requests with their ids, and count repeated ids

The line now names both ids, the status, whether the named id was sent on the connection before, and how many requests the connection carried. A counter tells how often a request goes to a connection that carried its id before. No decision changes.

--- a/product/src/main/java/io/foxtaildoor/connection/upstream/Exchange.java
+++ b/product/src/main/java/io/foxtaildoor/connection/upstream/Exchange.java
@@ -190,7 +190,10 @@
     }
     connection = ready;
     flowControl = new ResponseFlowControl(ready, response, server.loop(), this::resumeResponse);
-    connection.startExchange(this, request, head.getEnd());
+    if (ready.sentIds().mayContain(head.getRequestId())) {
+      server.metrics().countRepeatedId();
+    }
+    connection.startExchange(this, head.getRequestId(), request, head.getEnd());
   }
 
   @Override
@@ -283,6 +286,7 @@
     HeaderDialect dialect = server.settings().headers();
     if (!ResponseChecks.belongsTo(httpResponse, dialect, head.getRequestId())) {
       server.metrics().countStrayResponse();
+      logStrayResponse(httpResponse, dialect);
       countSkippedResponse();
       return false;
     }
@@ -320,6 +324,20 @@
     return true;
   }
 
+  private void logStrayResponse(HttpResponse httpResponse, HeaderDialect dialect) {
+    String namedId = httpResponse.headers().get(dialect.requestId());
+    SentRequestIds sentIds = connection.sentIds();
+    server
+        .strayResponseLog()
+        .log(
+            head.getRequestId(),
+            namedId,
+            httpResponse.status().code(),
+            sentIds.mayContain(namedId),
+            sentIds.count(),
+            server.now());
+  }
+
   private void countSkippedResponse() {
     skippedResponses++;
     if (skippedResponses > MAX_SKIPPED_RESPONSES) {
--- a/product/src/main/java/io/foxtaildoor/connection/upstream/UpstreamConnection.java
+++ b/product/src/main/java/io/foxtaildoor/connection/upstream/UpstreamConnection.java
@@ -38,6 +38,7 @@
   private boolean strayResponse;
   private long idleSinceNanos;
   private Duration keepAliveTimeout = KeepAlive.UNSPECIFIED;
+  private final SentRequestIds sentIds = new SentRequestIds();
 
   /** Receives the events of the exchange that the connection carries. */
   interface ExchangeListener {
@@ -95,6 +96,11 @@
     return used;
   }
 
+  /** Ids of the requests that were sent on the connection, including the one in progress. */
+  SentRequestIds sentIds() {
+    return sentIds;
+  }
+
   /**
    * Whether the connection was idle for too long to be reused.
    *
@@ -116,8 +122,10 @@
    *
    * @param end whether the request has no body
    */
-  void startExchange(ExchangeListener newListener, HttpRequest head, boolean end) {
+  void startExchange(
+      ExchangeListener newListener, String requestId, HttpRequest head, boolean end) {
     listener = newListener;
+    sentIds.add(requestId);
     requestWritten = false;
     responseComplete = false;
     strayResponse = false;
--- a/product/src/main/java/io/foxtaildoor/connection/upstream/UpstreamMetrics.java
+++ b/product/src/main/java/io/foxtaildoor/connection/upstream/UpstreamMetrics.java
@@ -72,6 +72,11 @@
     registry.counter(PREFIX + "stray.answers").increment();
   }
 
+  /** Counts a request whose id was sent on its connection before. */
+  void countRepeatedId() {
+    registry.counter(PREFIX + "repeated.ids").increment();
+  }
+
   void recordServiceTime(Rank rank, long serviceNanos) {
     metersOf(rank).service.record(serviceNanos, TimeUnit.NANOSECONDS);
   }
--- a/product/src/main/java/io/foxtaildoor/connection/upstream/UpstreamServer.java
+++ b/product/src/main/java/io/foxtaildoor/connection/upstream/UpstreamServer.java
@@ -57,6 +57,7 @@
   private final Set<Exchange> watched = new HashSet<>();
   private final ScheduledFuture<?> periodicChecks;
   private final UpstreamDrain drain;
+  private final StrayResponseLog strayResponseLog = new StrayResponseLog();
   private UpstreamAnnouncement announced;
   private UpstreamPool pool;
   private Service serviceConfiguration;
@@ -429,6 +430,10 @@
     return metrics;
   }
 
+  StrayResponseLog strayResponseLog() {
+    return strayResponseLog;
+  }
+
   Invariants invariants() {
     return invariants;
   }
