Test instances that answer a run twice

The stand-in instance can write a second answer for a run, fail a seeded share of its runs and list its runs.

--- a/product/src/test/java/io/foxtaildoor/process/node/ManagedMesh.java
+++ b/product/src/test/java/io/foxtaildoor/process/node/ManagedMesh.java
@@ -41,8 +41,12 @@
   private final List<TestProcess> processes = new ArrayList<>();
   private final int storePort;
 
-  /** A node process, its settings file and two of the ports that it listens on. */
-  record ManagedNode(TestProcess process, Path settings, int callerPort, int readinessPort) {}
+  /**
+   * A node process, its settings file, two of the ports that it listens on, and the port of its
+   * upstream instance.
+   */
+  record ManagedNode(
+      TestProcess process, Path settings, int callerPort, int readinessPort, int instancePort) {}
 
   private ManagedMesh(Path directory, Path configuration) {
     this.directory = directory;
@@ -84,12 +88,23 @@
    * @param moreSettings added to the settings of the node
    */
   ManagedNode startNode(String name, String stopLimit, String moreSettings) throws IOException {
+    return startNode(name, stopLimit, moreSettings, List.of());
+  }
+
+  /**
+   * Starts an upstream instance and its node, and waits until the node serves requests.
+   *
+   * @param moreSettings added to the settings of the node
+   * @param instanceOptions added to the options of the instance
+   */
+  ManagedNode startNode(
+      String name, String stopLimit, String moreSettings, List<String> instanceOptions)
+      throws IOException {
     List<Integer> ports = freePorts();
-    int instance =
-        startStandIn(
-            name + "-instance",
-            "ManagedInstance",
-            List.of("--reports", "127.0.0.1:" + ports.get(2), "--period", "300"));
+    List<String> options =
+        new ArrayList<>(List.of("--reports", "127.0.0.1:" + ports.get(2), "--period", "300"));
+    options.addAll(instanceOptions);
+    int instance = startStandIn(name + "-instance", "ManagedInstance", options);
     Path settings = directory.resolve(name + ".yaml");
     Files.writeString(
         settings,
@@ -105,7 +120,8 @@
                 bounds(stopLimit))
             + moreSettings);
     ManagedNode node =
-        new ManagedNode(startProcess(name, settings), settings, ports.get(0), ports.get(1));
+        new ManagedNode(
+            startProcess(name, settings), settings, ports.get(0), ports.get(1), instance);
     Polling.await("requests served by " + name, () -> isServed(node));
     return node;
   }
@@ -145,7 +161,11 @@
     TestProcess process = startProcess(name, previous.settings());
     ManagedNode node =
         new ManagedNode(
-            process, previous.settings(), previous.callerPort(), previous.readinessPort());
+            process,
+            previous.settings(),
+            previous.callerPort(),
+            previous.readinessPort(),
+            previous.instancePort());
     Polling.await("requests served by " + name, () -> isServed(node));
     return node;
   }
--- a/standins/src/main/java/io/foxtaildoor/standins/managed/ManagedInstance.java
+++ b/standins/src/main/java/io/foxtaildoor/standins/managed/ManagedInstance.java
@@ -15,7 +15,9 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.SplittableRandom;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
@@ -26,13 +28,27 @@
  * itself to a node at regular intervals.
  */
 public final class ManagedInstance extends HttpStandIn {
-  private static final String REQUEST_ID = "X-Foxtaildoor-Request-Id";
+  static final String REQUEST_ID = "X-Foxtaildoor-Request-Id";
+  static final String SIGNATURE = "X-Foxtaildoor-Server-Signature";
 
   /** Request header that states how many milliseconds the instance takes for the request. */
   public static final String WORK_MILLIS = "X-Work-Millis";
 
+  /** Request header that names the {@link Stutter} of the answer. */
+  public static final String STUTTER = "X-Stutter";
+
+  /** Request header that names the attempt of a client, which the list of runs repeats. */
+  public static final String ATTEMPT = "X-Attempt";
+
+  /**
+   * Path of the list of runs, which the instance serves itself. Each line holds the signature, the
+   * status of the first answer and the attempt.
+   */
+  public static final String RUNS_PATH = "/runs";
+
   private static final Duration CALL_TIMEOUT = Duration.ofSeconds(1);
   private static final int MISDIRECTED_REQUEST = 421;
+  private static final int PERCENT = 100;
 
   private final String id;
   private final String service;
@@ -41,18 +57,40 @@
   private final AtomicLong sequence = new AtomicLong();
   private final HttpClient client = HttpClient.newBuilder().connectTimeout(CALL_TIMEOUT).build();
   private final List<String> executedRequestIds = new CopyOnWriteArrayList<>();
+  private final List<String> runs = new ArrayList<>();
+  private final int failurePercent;
+  private final SplittableRandom random;
+  private long runCount;
   private volatile boolean draining;
 
-  private ManagedInstance(String id, String service, int capacity) {
+  private ManagedInstance(String id, String service, int capacity, int failurePercent, long seed) {
     this.id = id;
     this.service = service;
     this.capacity = capacity;
+    this.failurePercent = failurePercent;
+    this.random = new SplittableRandom(seed);
   }
 
   /** Starts an instance, which does not report itself to a node until {@link #report} is called. */
   public static ManagedInstance start(
       InetSocketAddress address, String id, String service, int capacity) {
-    ManagedInstance instance = new ManagedInstance(id, service, capacity);
+    return start(address, id, service, capacity, 0, 0);
+  }
+
+  /**
+   * Starts an instance that answers a share of the requests with status 500.
+   *
+   * @param failurePercent percentage of the requests that fail
+   * @param seed seed of the choice of the requests that fail
+   */
+  private static ManagedInstance start(
+      InetSocketAddress address,
+      String id,
+      String service,
+      int capacity,
+      int failurePercent,
+      long seed) {
+    ManagedInstance instance = new ManagedInstance(id, service, capacity, failurePercent, seed);
     instance.bind(address);
     return instance;
   }
@@ -64,27 +102,44 @@
 
   @Override
   void serve(Channel channel, FullHttpRequest request) {
+    if (request.uri().equals(RUNS_PATH)) {
+      answer(channel, response(200, String.join("\n", runs).getBytes(StandardCharsets.UTF_8)));
+      return;
+    }
     HttpHeaders headers = request.headers();
     String target = headers.get("X-Foxtaildoor-Target-Instance", id);
-    String requestId = headers.get(REQUEST_ID, "");
-    FullHttpResponse response;
-    if (!target.equals(id)) {
-      response = response(MISDIRECTED_REQUEST, new byte[0]);
-    } else {
-      executedRequestIds.add(requestId);
-      response = response(200, request.uri().getBytes(StandardCharsets.UTF_8));
-      response.headers().set("X-Foxtaildoor-Server-Signature", id + "." + requestId);
-    }
-    response.headers().set(REQUEST_ID, requestId);
+    boolean misdirected = !target.equals(id);
+    FullHttpResponse response =
+        misdirected ? response(MISDIRECTED_REQUEST, new byte[0]) : run(request);
+    response.headers().set(REQUEST_ID, headers.get(REQUEST_ID, ""));
     response.headers().set("X-Foxtaildoor-Instance-Id", id);
+    Stutter stutter =
+        misdirected ? Stutter.NONE : Stutter.valueOf(headers.get(STUTTER, Stutter.NONE.name()));
     var unused =
         eventLoop()
             .schedule(
-                () -> answer(channel, response),
+                () -> StutteringAnswers.write(channel, response, stutter),
                 headers.getInt(WORK_MILLIS, 0),
                 TimeUnit.MILLISECONDS);
   }
 
+  /** Runs a request and returns its signed answer; the signature ends with the run's number. */
+  private FullHttpResponse run(FullHttpRequest request) {
+    String requestId = request.headers().get(REQUEST_ID, "");
+    executedRequestIds.add(requestId);
+    runCount++;
+    boolean fails = random.nextInt(PERCENT) < failurePercent;
+    byte[] body = fails ? new byte[0] : request.uri().getBytes(StandardCharsets.UTF_8);
+    FullHttpResponse response = response(fails ? 500 : 200, body);
+    String signature = id + "." + requestId + "." + runCount;
+    response.headers().set(SIGNATURE, signature);
+    String attempt = request.headers().get(ATTEMPT);
+    if (attempt != null) {
+      runs.add(signature + " " + response.status().code() + " " + attempt);
+    }
+    return response;
+  }
+
   /**
    * Reports the instance to a node.
    *
@@ -156,6 +211,12 @@
 
     @Option(name = "--period", usage = "interval between two reports in milliseconds")
     private long periodMillis = 1_500;
+
+    @Option(name = "--failure-percent", usage = "percentage of requests answered with status 500")
+    private int failurePercent;
+
+    @Option(name = "--seed", usage = "seed of the choice of the requests that fail")
+    private long seed = 1;
   }
 
   /** Starts an instance and its reports; it runs until SIGTERM. */
@@ -166,7 +227,9 @@
             new InetSocketAddress(InetAddress.getLoopbackAddress(), options.port),
             "i-" + Long.toHexString(System.nanoTime()),
             options.service,
-            options.slots);
+            options.slots,
+            options.failurePercent,
+            options.seed);
     StandInProcess.stopOnSignal(instance::close);
     StandInProcess.writePortFile(options.portFile, Integer.toString(instance.address().getPort()));
     if (options.reports != null) {
