--- a/standins/src/main/java/io/foxtaildoor/standins/managed/ManagedInstance.java
+++ b/standins/src/main/java/io/foxtaildoor/standins/managed/ManagedInstance.java
@@ -83,7 +83,7 @@
    * @param failurePercent percentage of the requests that fail
    * @param seed seed of the choice of the requests that fail
    */
-  private static ManagedInstance start(
+  static ManagedInstance start(
       InetSocketAddress address,
       String id,
       String service,
--- /dev/null
+++ b/standins/src/test/java/io/foxtaildoor/standins/managed/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the stand-ins for a managed platform. */
+package io.foxtaildoor.standins.managed;
