Reproduce a success in place of the instance's failure, with failing tests

In the case of responseHiddenInStrayIsNotForwarded the request waits for its deadline: the node cannot know that the response was hidden in another one.

--- a/product/src/test/java/io/foxtaildoor/connection/upstream/StrayResponseTest.java
+++ b/product/src/test/java/io/foxtaildoor/connection/upstream/StrayResponseTest.java
@@ -13,6 +13,7 @@
 import static io.foxtaildoor.connection.upstream.UpstreamFixture.await;
 import static io.foxtaildoor.connection.upstream.UpstreamFixture.withHeader;
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertNotEquals;
 import static org.testng.Assert.assertTrue;
 
@@ -137,7 +138,6 @@
         {"no length", start + "\r\n"},
         {"endless chunks", start + "Transfer-Encoding: chunked\r\n\r\n400\r\n"},
         {"long", start + "Content-Length: 1000\r\n\r\nok"},
-        {"length of the answer", start + "Content-Length: " + failure("r1").length() + "\r\n\r\n"},
       };
     }
 
@@ -157,6 +157,26 @@
         assertEquals(outcome(fixture.call(request("GET", "r2"))), "500", name);
       }
     }
+
+    /** Guards against forwarding a part of a response that a stray hides within its length. */
+    @Test
+    public void responseHiddenInStrayIsNotForwarded() throws IOException {
+      String response = failure("r1");
+      ScriptedUpstream.Script script =
+          connection -> {
+            connection.readHead();
+            connection.write(
+                head("200 OK", "other") + "Content-Length: " + response.length() + "\r\n\r\n");
+            connection.write(response);
+            connection.readHead();
+          };
+      try (ScriptedUpstream upstream = new ScriptedUpstream(script)) {
+        fixture.attach(upstream.address());
+        Call call = fixture.call(request("GET", "r1"));
+        assertEquals(outcome(call), "TIMEOUT");
+        assertFalse(call.head.isDone());
+      }
+    }
   }
 
   /** Tests of a second response for the current request directly after its first. */
--- a/product/src/test/java/io/foxtaildoor/process/node/StutteringInstanceIT.java
+++ b/product/src/test/java/io/foxtaildoor/process/node/StutteringInstanceIT.java
@@ -71,6 +71,12 @@
     check("unique", new Plan(Stutter.BEFORE_NEXT_ANSWER, 150, 1, 0));
   }
 
+  /** Guards against an answer that is joined from the start of another one and the real one. */
+  @Test
+  public void uniqueIdGetsWholeAnswerAfterBrokenOffAnswer() throws IOException {
+    check("unique-broken-off", new Plan(Stutter.BROKEN_OFF, 150, 1, 0));
+  }
+
   /** Guards against a second answer with another status that is taken for another request's. */
   @Test
   public void uniqueIdGetsFirstOfTwoDifferentAnswers() throws IOException {
--- a/standins/src/main/java/io/foxtaildoor/standins/managed/Stutter.java
+++ b/standins/src/main/java/io/foxtaildoor/standins/managed/Stutter.java
@@ -14,6 +14,12 @@
    */
   WITH_OTHER_STATUS,
 
+  /**
+   * Follows a success with the start of a second one, up to the middle of its signature, directly
+   * before the next answer on the connection.
+   */
+  BROKEN_OFF,
+
   /** Follows a success with a second one after a short time, in which the connection is idle. */
   WHILE_IDLE
 }
