Send a request on no connection that carried its id before

Cause: the id of a request names the request, not one of its runs, so on a connection that carried the id before it doesn't tell which run a response belongs to.

A connection remembers the ids that it carried, and the pool passes it over for a request with one of them. It closes after 1,000 requests, which bounds what it remembers and leaves no id forgotten. Only hashes are kept; a collision costs a new connection.

--- a/product/src/main/java/io/foxtaildoor/connection/upstream/UpstreamConnection.java
+++ b/product/src/main/java/io/foxtaildoor/connection/upstream/UpstreamConnection.java
@@ -27,6 +27,9 @@
  * pool's event loop.
  */
 final class UpstreamConnection extends SimpleChannelInboundHandler<HttpObject> {
+  /** Bounds the request ids that a connection remembers. */
+  private static final int MAX_REQUESTS = 1_000;
+
   private final UpstreamPool pool;
   private Channel channel;
   private ExchangeListener listener;
@@ -85,6 +88,14 @@
     channel = ctx.channel();
   }
 
+  /**
+   * Closes the connection, because bytes without a request in progress belong to no request, and
+   * those that follow could be attributed to the wrong one.
+   */
+  void unexpectedBytesReceived() {
+    close();
+  }
+
   boolean isActive() {
     return channel.isActive();
   }
@@ -256,9 +267,7 @@
   @Override
   protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) {
     if (listener == null) {
-      // Data without a request in progress: a later response on this connection could be attributed
-      // to the wrong request.
-      close();
+      unexpectedBytesReceived();
       return;
     }
     if (message.decoderResult().isFailure()) {
@@ -288,15 +297,15 @@
   }
 
   /**
-   * Ends the exchange when its response is complete. The connection returns to the pool if the
-   * request was fully written too and the upstream keeps the connection open; otherwise it closes.
+   * Ends the exchange when its response is complete. The connection returns to the pool if it can
+   * carry another request; otherwise it closes.
    */
   private void finishIfDone() {
     if (listener == null || !responseComplete) {
       return;
     }
     listener = null;
-    if (requestWritten && keepAlive && channel.isActive()) {
+    if (isReusable()) {
       setReading(true);
       pool.release(this);
     } else {
@@ -304,6 +313,17 @@
     }
   }
 
+  /**
+   * Whether the connection can carry another request. An upstream that sent a response to another
+   * request, or bytes after the response, may send more of them.
+   */
+  private boolean isReusable() {
+    return requestWritten
+        && keepAlive
+        && sentIds.count() < MAX_REQUESTS
+        && channel.isActive();
+  }
+
   /** Aborts the exchange and closes the connection. */
   void abandon() {
     listener = null;
--- a/product/src/main/java/io/foxtaildoor/connection/upstream/UpstreamPool.java
+++ b/product/src/main/java/io/foxtaildoor/connection/upstream/UpstreamPool.java
@@ -16,6 +16,8 @@
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
+import java.util.Iterator;
+import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
@@ -61,21 +63,23 @@
   }
 
   /**
-   * Passes an idle connection to {@code ready} immediately, or a new one once it is connected.
+   * Passes an idle connection to {@code ready} immediately, or a new one once it is connected. A
+   * connection that carried a request with the same id is not used: the upstream may still send a
+   * second response to that request, which could not be told from the response to this one.
    *
+   * @param requestId id of the request that the connection will carry
    * @param failed receives the failure if the limit is reached or the upstream cannot be connected
    *     to
    */
-  void acquire(Consumer<UpstreamConnection> ready, Consumer<FoxtaildoorException> failed) {
-    UpstreamConnection reused = idle.pollLast();
-    long now = clock.getAsLong();
-    while (reused != null) {
-      if (reused.isActive() && !reused.isStale(now, settings.idleTimeout())) {
-        ready.accept(reused);
-        return;
-      }
-      reused.close();
-      reused = idle.pollLast();
+  void acquire(
+      String requestId, Consumer<UpstreamConnection> ready, Consumer<FoxtaildoorException> failed) {
+    Optional<UpstreamConnection> reused = pollIdle(requestId, clock.getAsLong());
+    if (reused.isPresent()) {
+      ready.accept(reused.get());
+      return;
+    }
+    if (open >= limit && !idle.isEmpty()) {
+      idle.pollFirst().close();
     }
     if (open >= limit) {
       failed.accept(
@@ -86,6 +90,25 @@
     connect(ready, failed);
   }
 
+  /**
+   * Removes the most recently used idle connection that has not carried the request id, and closes
+   * the stale connections that it passes.
+   */
+  private Optional<UpstreamConnection> pollIdle(String requestId, long nowNanos) {
+    Iterator<UpstreamConnection> latestFirst = idle.descendingIterator();
+    while (latestFirst.hasNext()) {
+      UpstreamConnection candidate = latestFirst.next();
+      if (!candidate.isActive() || candidate.isStale(nowNanos, settings.idleTimeout())) {
+        latestFirst.remove();
+        candidate.close();
+      } else if (!candidate.sentIds().mayContain(requestId)) {
+        latestFirst.remove();
+        return Optional.of(candidate);
+      }
+    }
+    return Optional.empty();
+  }
+
   private void connect(Consumer<UpstreamConnection> ready, Consumer<FoxtaildoorException> failed) {
     open++;
     UpstreamConnection connection = new UpstreamConnection(this);
--- a/product/src/test/java/io/foxtaildoor/connection/upstream/ScriptedUpstream.java
+++ b/product/src/test/java/io/foxtaildoor/connection/upstream/ScriptedUpstream.java
@@ -52,6 +52,15 @@
     return (InetSocketAddress) server.getLocalSocketAddress();
   }
 
+  /** Returns the value of a header in a message head, or an empty string. */
+  static String header(String head, String name) {
+    return head.lines()
+        .filter(line -> line.regionMatches(true, 0, name + ":", 0, name.length() + 1))
+        .map(line -> line.substring(name.length() + 1).strip())
+        .findFirst()
+        .orElse("");
+  }
+
   private static void start(Runnable task) {
     Thread thread = new Thread(task, "scripted-upstream");
     thread.setDaemon(true);
