Decode a response with the state of its own exchange only

The start of a second answer that stayed in the decoder when a response ended was joined with the head of the next response: its status line, and the id, signature and body of the real one. With HEAD requests a stray response took the method that belonged to the next one, and 20 bytes of a later answer were forwarded as a body.

Cause: the codec's buffer and its queue of methods outlive the exchange.

The connection goes back to the pool only when nothing is left to decode, bytes that arrive without a request in progress close it undecoded, and whether a response has no body follows from the request in progress.

--- a/product/src/main/java/io/foxtaildoor/connection/upstream/Exchange.java
+++ b/product/src/main/java/io/foxtaildoor/connection/upstream/Exchange.java
@@ -284,11 +284,16 @@
     bodyWritable();
   }
 
+  @Override
+  public boolean isResponseToRequest(HttpResponse httpResponse) {
+    return ResponseChecks.belongsTo(httpResponse, server.settings().headers(), head.getRequestId());
+  }
+
   @Override
   public boolean responseHead(HttpResponse httpResponse) {
     lastProgressNanos = server.now();
     HeaderDialect dialect = server.settings().headers();
-    if (!ResponseChecks.belongsTo(httpResponse, dialect, head.getRequestId())) {
+    if (!isResponseToRequest(httpResponse)) {
       server.metrics().countStrayResponse();
       logStrayResponse(httpResponse, dialect);
       countSkippedResponse();
--- a/product/src/main/java/io/foxtaildoor/connection/upstream/UpstreamConnection.java
+++ b/product/src/main/java/io/foxtaildoor/connection/upstream/UpstreamConnection.java
@@ -14,6 +14,8 @@
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
@@ -32,7 +34,9 @@
 
   private final UpstreamPool pool;
   private Channel channel;
+  private UpstreamResponseDecoder decoder;
   private ExchangeListener listener;
+  private boolean headRequest;
   private boolean used;
   private boolean requestWritten;
   private boolean responseComplete;
@@ -57,6 +61,9 @@
     /** The connection accepts more of the request body. */
     void bodyWritable();
 
+    /** Whether a response belongs to the request of the exchange. */
+    boolean isResponseToRequest(HttpResponse httpResponse);
+
     /**
      * The head of a final or interim response arrived.
      *
@@ -88,6 +95,22 @@
     channel = ctx.channel();
   }
 
+  /** Creates the decoder of this connection, which precedes it in the pipeline. */
+  UpstreamResponseDecoder createDecoder(HttpDecoderConfig config) {
+    decoder = new UpstreamResponseDecoder(config, this);
+    return decoder;
+  }
+
+  /** Whether a request is in progress. */
+  boolean hasExchange() {
+    return listener != null;
+  }
+
+  /** Whether a response belongs to the request in progress and that is a HEAD request. */
+  boolean isResponseToHead(HttpResponse httpResponse) {
+    return headRequest && listener != null && listener.isResponseToRequest(httpResponse);
+  }
+
   /**
    * Closes the connection, because bytes without a request in progress belong to no request, and
    * those that follow could be attributed to the wrong one.
@@ -141,6 +164,7 @@
     responseComplete = false;
     strayResponse = false;
     keepAlive = false;
+    headRequest = head.method().equals(HttpMethod.HEAD);
     ChannelProgressivePromise promise = channel.newProgressivePromise();
     promise.addListener(new HeadWriteListener(newListener, end));
     var unused = channel.writeAndFlush(end ? withoutBody(head) : head, promise);
@@ -320,6 +344,7 @@
   private boolean isReusable() {
     return requestWritten
         && keepAlive
+        && !decoder.hasUndecodedBytes()
         && sentIds.count() < MAX_REQUESTS
         && channel.isActive();
   }
--- a/product/src/main/java/io/foxtaildoor/connection/upstream/UpstreamPool.java
+++ b/product/src/main/java/io/foxtaildoor/connection/upstream/UpstreamPool.java
@@ -12,8 +12,8 @@
 import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Iterator;
@@ -131,7 +131,8 @@
                             .setHeadersFactory(HeaderList.FACTORY);
                     channel
                         .pipeline()
-                        .addLast(new HttpClientCodec(config, false, false))
+                        .addLast(new HttpRequestEncoder())
+                        .addLast(connection.createDecoder(config))
                         .addLast(connection);
                   }
                 })
