--- a/product/src/main/java/io/foxtaildoor/connection/upstream/UpstreamConnection.java
+++ b/product/src/main/java/io/foxtaildoor/connection/upstream/UpstreamConnection.java
@@ -43,6 +43,7 @@
   private boolean keepAlive;
   private boolean interimResponse;
   private boolean strayResponse;
+  private boolean faulty;
   private long idleSinceNanos;
   private Duration keepAliveTimeout = KeepAlive.UNSPECIFIED;
   private final SentRequestIds sentIds = new SentRequestIds();
@@ -305,6 +306,7 @@
       keepAlive = HttpUtil.isKeepAlive(httpResponse);
       keepAliveTimeout = KeepAlive.timeout(httpResponse).orElse(keepAliveTimeout);
       strayResponse = !listener.responseHead(httpResponse);
+      faulty |= strayResponse;
     }
     if (strayResponse) {
       return;
@@ -344,6 +346,7 @@
   private boolean isReusable() {
     return requestWritten
         && keepAlive
+        && !faulty
         && !decoder.hasUndecodedBytes()
         && sentIds.count() < MAX_REQUESTS
         && channel.isActive();
