Reject a response whose head is joined from two

A second answer that breaks off after the next request was written leaves no trace before it.

A head that contains a second status line in its reason phrase or in a header fails the request with bad-upstream-answer.

--- a/product/src/main/java/io/foxtaildoor/connection/upstream/Exchange.java
+++ b/product/src/main/java/io/foxtaildoor/connection/upstream/Exchange.java
@@ -293,7 +293,9 @@
   public boolean responseHead(HttpResponse httpResponse) {
     lastProgressNanos = server.now();
     HeaderDialect dialect = server.settings().headers();
-    if (!isResponseToRequest(httpResponse)) {
+    if (ResponseChecks.containsStatusLine(httpResponse)) {
+      fail(ErrorKind.BAD_UPSTREAM_ANSWER, "the head of the response contains a second status line");
+    } else if (!isResponseToRequest(httpResponse)) {
       server.metrics().countStrayResponse();
       logStrayResponse(httpResponse, dialect);
       countSkippedResponse();
