--- a/product/src/main/java/io/foxtaildoor/connection/upstream/Exchange.java
+++ b/product/src/main/java/io/foxtaildoor/connection/upstream/Exchange.java
@@ -35,6 +35,12 @@
    */
   private static final int MAX_SKIPPED_RESPONSES = 32;
 
+  /**
+   * Time for a response to another request to end. One that does not end may hide the response to
+   * this request, which would wait for its deadline.
+   */
+  private static final long STRAY_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(1);
+
   private final UpstreamServer server;
   private final RequestStart head;
   private final ResponseStream response;
@@ -67,6 +73,7 @@
   private boolean refusedByUpstream;
   private int skippedResponses;
   private long lastProgressNanos;
+  private long strayStartedNanos;
 
   Exchange(UpstreamServer server, RequestStart head, ResponseStream response, long nowNanos) {
     this.server = server;
@@ -295,19 +302,20 @@
     HeaderDialect dialect = server.settings().headers();
     if (ResponseChecks.containsStatusLine(httpResponse)) {
       fail(ErrorKind.BAD_UPSTREAM_ANSWER, "the head of the response contains a second status line");
+    } else if (httpResponse.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
+      fail(
+          ErrorKind.BAD_UPSTREAM_ANSWER,
+          "the upstream switched protocols without a request to do so");
     } else if (!isResponseToRequest(httpResponse)) {
       server.metrics().countStrayResponse();
       logStrayResponse(httpResponse, dialect);
+      strayStartedNanos = lastProgressNanos;
       countSkippedResponse();
       return false;
     } else if (sendCount == 0) {
       // A response that arrives before any byte of the request was sent belongs to another
       // exchange.
       fail(ErrorKind.BAD_UPSTREAM_ANSWER, "the upstream responded before the request was sent");
-    } else if (httpResponse.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
-      fail(
-          ErrorKind.BAD_UPSTREAM_ANSWER,
-          "the upstream switched protocols without a request to do so");
     } else if (httpResponse.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
       if (httpResponse.status().equals(HttpResponseStatus.CONTINUE)) {
         continueBody();
@@ -447,6 +455,8 @@
       lastProgressNanos = nowNanos;
     } else if (nowNanos - lastProgressNanos >= server.settings().progressTimeout().toNanos()) {
       fail(ErrorKind.TIMEOUT, "the upstream made no progress within the progress timeout");
+    } else if (connection.isReadingStray() && nowNanos - strayStartedNanos >= STRAY_TIMEOUT_NANOS) {
+      fail(ErrorKind.BAD_UPSTREAM_ANSWER, "a response to another request did not end in time");
     }
   }
 
--- a/product/src/main/java/io/foxtaildoor/connection/upstream/UpstreamConnection.java
+++ b/product/src/main/java/io/foxtaildoor/connection/upstream/UpstreamConnection.java
@@ -131,6 +131,11 @@
     return used;
   }
 
+  /** Whether a response to another request has begun and not ended yet. */
+  boolean isReadingStray() {
+    return strayResponse;
+  }
+
   /** Ids of the requests that were sent on the connection, including the one in progress. */
   SentRequestIds sentIds() {
     return sentIds;
@@ -309,6 +314,7 @@
       faulty |= strayResponse;
     }
     if (strayResponse) {
+      strayResponse = !(message instanceof LastHttpContent);
       return;
     }
     // The codec adds an empty last content to each interim response; it does not end the exchange.
