Compare the request id of a response at the caller's node in every dialect

The caller's node compared only the product's own id header, which instances of the managed platform do not send, so ANSWER_MATCHES_REQUEST checked nothing there. A remembered response of an idempotency key drops the id of the request that it answered first, because it is sent again to requests with other ids.

--- a/product/src/main/java/io/foxtaildoor/connection/caller/CallerHeaders.java
+++ b/product/src/main/java/io/foxtaildoor/connection/caller/CallerHeaders.java
@@ -2,6 +2,7 @@
 
 import io.foxtaildoor.common.ErrorKind;
 import io.foxtaildoor.common.FoxtaildoorException;
+import io.foxtaildoor.common.HeaderDialect;
 import io.foxtaildoor.common.HeaderNames;
 import io.foxtaildoor.connection.head.HopByHopHeaders;
 import io.foxtaildoor.protocol.Header;
@@ -18,11 +19,19 @@
 
   private CallerHeaders() {}
 
-  /** Returns whether the headers carry a request id other than the given one. */
-  static boolean containOtherRequestId(List<Header> headers, String requestId) {
+  /**
+   * Returns whether the headers carry a request id other than the given one.
+   *
+   * @param dialect names the id header of upstreams, which is checked beside the product's own
+   */
+  static boolean containOtherRequestId(
+      List<Header> headers, HeaderDialect dialect, String requestId) {
     for (Header header : headers) {
-      if (header.getName().equalsIgnoreCase(HeaderNames.REQUEST_ID)
-          && !header.getValue().equals(requestId)) {
+      String name = header.getName();
+      boolean namesRequest =
+          name.equalsIgnoreCase(HeaderNames.REQUEST_ID)
+              || name.equalsIgnoreCase(dialect.requestId());
+      if (namesRequest && !header.getValue().equals(requestId)) {
         return true;
       }
     }
--- a/product/src/main/java/io/foxtaildoor/connection/caller/Exchange.java
+++ b/product/src/main/java/io/foxtaildoor/connection/caller/Exchange.java
@@ -245,7 +245,9 @@
   private void checkResponseMatchesRequest(ResponseStart start) {
     boolean expected = connection.isAwaitingResponseOf(this) && !response.isStarted();
     boolean matches =
-        expected && !CallerHeaders.containOtherRequestId(start.getHeadersList(), head.requestId());
+        expected
+            && !CallerHeaders.containOtherRequestId(
+                start.getHeadersList(), dependencies.protocol().headers(), head.requestId());
     dependencies
         .invariants()
         .check(
--- a/product/src/main/java/io/foxtaildoor/connection/upstream/Exchange.java
+++ b/product/src/main/java/io/foxtaildoor/connection/upstream/Exchange.java
@@ -336,7 +336,7 @@
       timeToHeadNanos = lastProgressNanos - ticket.startedNanos();
       ResponseStart.Builder start =
           HttpHeadConverter.toResponseStart(httpResponse).setLoad(server.loadReport());
-      recording.recordHead(start);
+      recording.recordHead(start, dialect.requestId());
       bufferedResponse.start(start.build());
     }
     return true;
--- a/product/src/main/java/io/foxtaildoor/connection/upstream/ResponseRecording.java
+++ b/product/src/main/java/io/foxtaildoor/connection/upstream/ResponseRecording.java
@@ -1,6 +1,7 @@
 package io.foxtaildoor.connection.upstream;
 
 import com.google.protobuf.ByteString;
+import io.foxtaildoor.protocol.Header;
 import io.foxtaildoor.protocol.ResponseStart;
 import io.foxtaildoor.request.idempotency.KeyClaimResult;
 import io.foxtaildoor.request.idempotency.StoredResponse;
@@ -29,8 +30,21 @@
     return new ResponseRecording(limit);
   }
 
-  void recordHead(ResponseStart.Builder start) {
-    head = start.clone().clearLoad().clearStream().build();
+  /**
+   * Records the head of the response, without the header that names its request, because the
+   * response is sent again to requests with other ids.
+   */
+  void recordHead(ResponseStart.Builder start, String requestIdHeader) {
+    if (tooLarge) {
+      return;
+    }
+    ResponseStart.Builder recorded = start.clone().clearLoad().clearStream().clearHeaders();
+    for (Header header : start.getHeadersList()) {
+      if (!header.getName().equalsIgnoreCase(requestIdHeader)) {
+        recorded.addHeaders(header);
+      }
+    }
+    head = recorded.build();
   }
 
   void recordBody(ByteBuf data) {
