Test ids of responses at the caller's node and of remembered responses

The stand-in mesh takes ports below the range of outgoing connections: once, at 22:12 UTC, beside three other suites, a node of StutteringInstanceIT could not bind a port that was free when it was chosen.

--- a/product/src/test/java/io/foxtaildoor/connection/upstream/SignedResponseTest.java
+++ b/product/src/test/java/io/foxtaildoor/connection/upstream/SignedResponseTest.java
@@ -226,6 +226,21 @@
     assertEquals(upstream.requestHeads.size(), 2);
   }
 
+  /** Guards against a remembered response that is rejected as that of another request. */
+  @Test
+  public void rememberedResponseNamesNoRequest() throws Exception {
+    ScriptedUpstream upstream = new ScriptedUpstream(SignedResponseTest::respondToAll);
+    fixture.attach(upstream.address());
+    for (String id : List.of("r1", "r2")) {
+      Call call = fixture.call(requestHead("POST", true).setRequestId(id).setIdempotencyKey("key"));
+      assertEquals(await(call.body), "ok");
+      boolean named =
+          await(call.head).getHeadersList().stream().anyMatch(h -> h.getName().equals("X-Id"));
+      assertEquals(named, id.equals("r1"), id);
+    }
+    assertEquals(upstream.requestHeads.size(), 1);
+  }
+
   /** Responds to all requests of a connection, with a stated keep-alive timeout of one second. */
   private static void respondToAll(ScriptedUpstream.Connection connection) throws IOException {
     while (true) {
--- a/product/src/test/java/io/foxtaildoor/process/node/ManagedMesh.java
+++ b/product/src/test/java/io/foxtaildoor/process/node/ManagedMesh.java
@@ -2,11 +2,13 @@
 
 import io.foxtaildoor.platform.WireTexts;
 import java.io.IOException;
+import java.net.BindException;
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.UnaryOperator;
 
 /**
@@ -37,6 +39,14 @@
   /** Number of ports that a node listens on. */
   private static final int PORTS_PER_NODE = 5;
 
+  /**
+   * Ports of nodes lie below the range from which the kernel takes those of outgoing connections,
+   * which could otherwise occupy a port between its choice and the start of the node.
+   */
+  private static final int FIRST_PORT = 20_000;
+
+  private static final int LAST_PORT = 32_000;
+
   private final Path directory;
   private final List<TestProcess> processes = new ArrayList<>();
   private final int storePort;
@@ -142,7 +152,7 @@
     List<Integer> ports = new ArrayList<>();
     try {
       for (int i = 0; i < PORTS_PER_NODE; i++) {
-        sockets.add(new ServerSocket(0));
+        sockets.add(bindFreePort());
         ports.add(sockets.get(i).getLocalPort());
       }
     } finally {
@@ -153,6 +163,17 @@
     return ports;
   }
 
+  private static ServerSocket bindFreePort() throws IOException {
+    while (true) {
+      int port = ThreadLocalRandom.current().nextInt(FIRST_PORT, LAST_PORT);
+      try {
+        return new ServerSocket(port);
+      } catch (BindException e) {
+        // Another process uses the port, so another one is tried.
+      }
+    }
+  }
+
   /**
    * Starts the process of a node again, with the same upstream instance, and waits until it serves
    * requests.
