Accept signals from the first statements of a node

SIGHUP ended a node until its settings reloader ran, and SIGTERM ended it with exit code 143 until its shutdown hook was installed. Both receivers are now installed in main before other classes are loaded. A SIGHUP that arrives during the start is remembered until the node can reload. SIGTERM ends the process at once with exit code 0 before the settings are read; during the start of the node it waits for the end of the start and then stops the node, within the platform's limit as counted from the signal.

The reloader took the content of the file at its own start as the content that the node had started with, so a change between the two was never noticed without a signal. It is now given the content that was read.

--- a/product/src/main/java/io/foxtaildoor/process/cli/CommandLine.java
+++ b/product/src/main/java/io/foxtaildoor/process/cli/CommandLine.java
@@ -17,8 +17,8 @@
 
   private record Subcommand(String summary, Supplier<Command> factory) {}
 
-  CommandLine() {
-    add("node", "run a node", NodeCommand::new);
+  CommandLine(NodeSignals signals) {
+    add(Main.NODE_COMMAND, "run a node", () -> new NodeCommand(signals));
     add("check", "validate a settings file", CheckCommand::new);
     add("questionnaire check", "validate a questionnaire", QuestionnaireCommands.Check::new);
     add(
--- a/product/src/main/java/io/foxtaildoor/process/cli/Main.java
+++ b/product/src/main/java/io/foxtaildoor/process/cli/Main.java
@@ -16,15 +16,28 @@
   /** Exit code for invalid arguments or invalid input. */
   public static final int EXIT_USAGE = 2;
 
+  static final String NODE_COMMAND = "node";
+
   private Main() {}
 
   /** Runs the subcommand that the arguments name and exits with its exit code. */
   public static void main(String[] args) {
-    System.exit(run(args, System.out, System.err));
+    NodeSignals signals = new NodeSignals();
+    if (args.length > 0 && args[0].equals(NODE_COMMAND)) {
+      // Before classes of other packages are loaded, because an earlier signal ends the process.
+      signals.install();
+    }
+    int code = run(args, System.out, System.err, signals);
+    signals.termination().remove();
+    System.exit(code);
   }
 
   static int run(String[] args, PrintStream out, PrintStream err) {
-    CommandLine line = new CommandLine();
+    return run(args, out, err, new NodeSignals());
+  }
+
+  private static int run(String[] args, PrintStream out, PrintStream err, NodeSignals signals) {
+    CommandLine line = new CommandLine(signals);
     try {
       return line.parse(args).run(out, err);
     } catch (CmdLineException e) {
--- a/product/src/main/java/io/foxtaildoor/process/cli/NodeCommand.java
+++ b/product/src/main/java/io/foxtaildoor/process/cli/NodeCommand.java
@@ -32,25 +32,27 @@
       usage = "file to which the bound ports are written; needed when a port in the settings is 0")
   private String portFile;
 
+  private final NodeSignals signals;
+
+  NodeCommand(NodeSignals signals) {
+    this.signals = signals;
+  }
+
   @Override
   public int run(PrintStream out, PrintStream err) {
     // LogConfiguration reads this property when the first logger is created.
     System.setProperty(LogConfiguration.TARGET_PROPERTY, "System.out");
-    Optional<Settings> settings = SettingsFiles.read(settingsFile, err);
+    byte[] content = OperatorCommand.readFile(settingsFile);
+    Optional<Settings> settings = SettingsFiles.parse(settingsFile, content, err);
     if (settings.isEmpty()) {
       return Main.EXIT_USAGE;
     }
     LogLevels.setRootLevel(settings.get().get(NodeSettings.LOG_LEVEL));
+    signals.termination().beginStart();
     Node node = new Node(settings.get(), platformAdapter(settings.get()));
     BoundPorts ports = node.start();
-    // The hook halts the process itself, because the exit code after a signal would not be 0.
-    Runtime.getRuntime()
-        .addShutdownHook(
-            new Thread(
-                () ->
-                    Runtime.getRuntime().halt(node.stop() ? Main.EXIT_SUCCESS : Main.EXIT_FAILURE),
-                "stop"));
-    new SettingsReloader(Path.of(settingsFile), node).start();
+    signals.termination().endStart(node::stop);
+    new SettingsReloader(Path.of(settingsFile), content, node, signals.hangUps()).start();
     if (portFile != null) {
       writePortFile(ports);
     }
--- a/product/src/main/java/io/foxtaildoor/process/cli/SettingsFiles.java
+++ b/product/src/main/java/io/foxtaildoor/process/cli/SettingsFiles.java
@@ -18,9 +18,13 @@
    * are any.
    */
   static Optional<Settings> read(String file, PrintStream err) {
+    return parse(file, OperatorCommand.readFile(file), err);
+  }
+
+  /** Like {@link #read}, for the content of a file that has been read. */
+  static Optional<Settings> parse(String file, byte[] content, PrintStream err) {
     List<DocumentProblem> problems = new ArrayList<>();
-    Optional<Settings> settings =
-        SettingsReader.read(OperatorCommand.readFile(file), NodeSettings.ALL, problems);
+    Optional<Settings> settings = SettingsReader.read(content, NodeSettings.ALL, problems);
     problems.forEach(
         problem ->
             err.printf("%s:%d: %s: %s%n", file, problem.line(), problem.path(), problem.message()));
--- a/product/src/main/java/io/foxtaildoor/process/cli/SettingsReloader.java
+++ b/product/src/main/java/io/foxtaildoor/process/cli/SettingsReloader.java
@@ -15,7 +15,6 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -33,21 +32,32 @@
 
   private final Path file;
   private final Node node;
-  private final Semaphore signals = new Semaphore(0);
+  private final HangUpSignals signals;
   private byte[] lastContent;
 
-  SettingsReloader(Path file, Node node) {
+  /**
+   * Creates a reloader without starting it.
+   *
+   * @param initialContent content of the file that the node was started with; the file may have
+   *     changed since
+   */
+  SettingsReloader(Path file, byte[] initialContent, Node node, HangUpSignals signals) {
     this.file = file;
+    this.lastContent = initialContent;
     this.node = node;
+    this.signals = signals;
   }
 
-  /**
-   * Installs the SIGHUP handler, without which the signal would terminate the process, and starts
-   * to poll the file.
-   */
+  /** Starts to wait for signals and to poll the file. */
   void start() {
-    lastContent = readContent().orElse(new byte[0]);
-    SighupHandler.install(signals::release);
+    signals
+        .failure()
+        .ifPresent(
+            cause ->
+                LOGGER.log(
+                    Level.WARNING,
+                    "no handler for SIGHUP could be installed; the signal will end the process",
+                    cause));
     Thread thread = new Thread(this::watch, "settings");
     thread.setDaemon(true);
     thread.start();
@@ -56,9 +66,7 @@
   private void watch() {
     try {
       while (true) {
-        boolean signalled = signals.tryAcquire(POLL_INTERVAL_SECONDS, TimeUnit.SECONDS);
-        signals.drainPermits();
-        reloadIfChanged(signalled);
+        reloadIfChanged(signals.await(POLL_INTERVAL_SECONDS, TimeUnit.SECONDS));
       }
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
--- a/product/src/main/java/io/foxtaildoor/process/node/Node.java
+++ b/product/src/main/java/io/foxtaildoor/process/node/Node.java
@@ -204,11 +204,12 @@
    * notice it, refuses new requests as not run, finishes those in flight, and then closes
    * everything. A request that may not end before that is refused as not run.
    *
+   * @param signalNanos time of the termination signal on the clock of {@link System#nanoTime}, from
+   *     which the platform counts its limit
    * @return whether all requests finished, so that none was interrupted
    */
-  public boolean stop() {
+  public boolean stop(long signalNanos) {
     StopSchedule schedule = platformServices.stopSchedule();
-    long signalNanos = context.clock().getAsLong();
     long noticeEndNanos = signalNanos + schedule.notice().toNanos();
     long closeNanos = signalNanos + schedule.close().toNanos();
     stopping = true;
