Move the index of addresses out of FleetState

NodeAddresses tells which live node uses an address and which of two nodes at the same address was replaced. No change of behaviour; SwimCoreTest, MembershipTest and StateExchangesTest are unchanged and pass.

--- a/product/src/main/java/io/foxtaildoor/process/membership/FleetState.java
+++ b/product/src/main/java/io/foxtaildoor/process/membership/FleetState.java
@@ -2,12 +2,9 @@
 
 import io.foxtaildoor.common.NodeId;
 import io.foxtaildoor.process.membership.MembershipCounters.Counter;
-import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.random.RandomGenerator;
-import org.agrona.collections.Object2ObjectHashMap;
 
 /**
  * Merges records into the local node's view of the fleet. A record replaces another only if it has
@@ -36,8 +33,8 @@
   private final PeerSampler sampler;
   private final DepartedNodes departedNodes;
   private final SuspicionTimers suspicionTimers;
-  private final Map<InetSocketAddress, NodeId> liveNodeByAddress = new Object2ObjectHashMap<>();
   private final VerificationQueue verificationQueue = new VerificationQueue();
+  private final NodeAddresses addresses;
   private final List<NodeRecord> urgentRecords = new ArrayList<>();
   private int liveNodeCount = 1;
 
@@ -58,6 +55,7 @@
     this.counters = counters;
     this.sampler = new PeerSampler(this::liveRecord, random);
     this.departedNodes = new DepartedNodes(settings, table, random);
+    this.addresses = new NodeAddresses(table, verificationQueue, this::markReplaced);
     this.suspicionTimers = new SuspicionTimers(settings.suspicionTimeout().toNanos());
     table.add(local.record());
     index.update(null, local.record());
@@ -68,6 +66,10 @@
     return sampler;
   }
 
+  NodeAddresses addresses() {
+    return addresses;
+  }
+
   DepartedNodes departedNodes() {
     return departedNodes;
   }
@@ -89,11 +91,6 @@
     return suspectedOrDead ? record : null;
   }
 
-  /** Returns the id of the live node at an address, or null. */
-  NodeId liveAt(InetSocketAddress address) {
-    return liveNodeByAddress.get(address);
-  }
-
   /**
    * Removes and returns up to {@code limit} records that were learned by gossip and must be pushed
    * immediately.
@@ -201,23 +198,6 @@
     departedNodes.stopProbing(id);
   }
 
-  /**
-   * Marks the node known at the source address of a datagram as replaced if the sender has another
-   * id and a higher incarnation.
-   */
-  void checkSenderAddress(InetSocketAddress from, NodeId sender, long incarnation, long nowNanos) {
-    NodeId knownId = liveNodeByAddress.get(from);
-    if (knownId == null || knownId.equals(sender)) {
-      return;
-    }
-    // A delayed datagram of the previous process has the lower incarnation and does not show that
-    // the known node was replaced.
-    NodeRecord record = table.record(knownId);
-    if (record != null && record.incarnation() < incarnation) {
-      markReplaced(knownId, nowNanos);
-    }
-  }
-
   /**
    * Marks nodes dead whose suspicion period has ended, and removes departed nodes whose retention
    * time has passed.
@@ -379,7 +359,7 @@
     }
     index.update(previous, record);
     outbox.add(new SwimOutput.RecordChanged(record));
-    liveNodeByAddress.remove(previous.address(), record.id());
+    addresses.remove(previous);
     departedNodes.add(node, nowNanos);
     if (NodeRecords.isLive(previous)) {
       outbox.setFleetSize(--liveNodeCount);
@@ -398,28 +378,6 @@
       sampler.add(record.id());
       outbox.setFleetSize(++liveNodeCount);
     }
-    NodeId idAtAddress = liveNodeByAddress.get(record.address());
-    if (idAtAddress == null) {
-      liveNodeByAddress.put(record.address(), record.id());
-    } else if (!idAtAddress.equals(record.id())) {
-      resolveAddressConflict(node, table.find(idAtAddress), nowNanos);
-    }
-  }
-
-  /**
-   * Resolves a conflict between two nodes at the same address: the one with the lower incarnation
-   * was replaced. At equal incarnations both are verified by probes.
-   */
-  private void resolveAddressConflict(KnownNode added, KnownNode current, long nowNanos) {
-    long difference = added.record().incarnation() - current.record().incarnation();
-    if (difference > 0) {
-      liveNodeByAddress.put(added.record().address(), added.record().id());
-      markReplaced(current.record().id(), nowNanos);
-    } else if (difference < 0) {
-      markReplaced(added.record().id(), nowNanos);
-    } else {
-      verificationQueue.add(added.record());
-      verificationQueue.add(current.record());
-    }
+    addresses.add(node, nowNanos);
   }
 }
--- a/product/src/main/java/io/foxtaildoor/process/membership/Prober.java
+++ b/product/src/main/java/io/foxtaildoor/process/membership/Prober.java
@@ -211,7 +211,7 @@
   private InetSocketAddress randomUnknownContact() {
     List<InetSocketAddress> candidates = new ArrayList<>();
     for (InetSocketAddress contact : contacts) {
-      if (!contact.equals(local.record().address()) && fleet.liveAt(contact) == null) {
+      if (!contact.equals(local.record().address()) && fleet.addresses().liveAt(contact) == null) {
         candidates.add(contact);
       }
     }
--- a/product/src/main/java/io/foxtaildoor/process/membership/SwimCore.java
+++ b/product/src/main/java/io/foxtaildoor/process/membership/SwimCore.java
@@ -147,7 +147,7 @@
   /** Handles a datagram that {@link DatagramDecoder} accepted. */
   void onDatagram(InetSocketAddress from, Datagram datagram, long nowNanos) {
     NodeId sender = new NodeId(datagram.getSender());
-    fleet.checkSenderAddress(from, sender, datagram.getSenderIncarnation(), nowNanos);
+    fleet.addresses().checkSender(from, sender, datagram.getSenderIncarnation(), nowNanos);
     exchangeScheduler.joinThroughSender(from, nowNanos);
     long incarnation = local.record().incarnation();
     mergeUpdates(datagram, nowNanos);
