--- a/product/src/main/java/io/foxtaildoor/process/cli/OperatorClient.java
+++ b/product/src/main/java/io/foxtaildoor/process/cli/OperatorClient.java
@@ -5,7 +5,6 @@
 import io.foxtaildoor.common.FoxtaildoorException;
 import io.foxtaildoor.common.Json;
 import io.foxtaildoor.common.Problem;
-import java.io.IOException;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -59,7 +58,8 @@
     if (credentials != null) {
       request.header("Authorization", "Bearer " + credentials);
     }
-    HttpResponse<byte[]> response = send(request.build());
+    HttpResponse<byte[]> response =
+        NodeCalls.send(http, request.build(), HttpResponse.BodyHandlers.ofByteArray(), node);
     if (response.statusCode() < 400) {
       return Json.tree(response.body());
     }
@@ -84,18 +84,6 @@
     }
   }
 
-  private HttpResponse<byte[]> send(HttpRequest request) {
-    try {
-      return http.send(request, HttpResponse.BodyHandlers.ofByteArray());
-    } catch (IOException e) {
-      throw new FoxtaildoorException(
-          ErrorKind.NODE_UNREACHABLE, "node " + node + " does not answer: " + e, e);
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-      throw new FoxtaildoorException(ErrorKind.CANCELLED, "interrupted", e);
-    }
-  }
-
   private static boolean isProblemDocument(HttpResponse<byte[]> response) {
     String type = response.headers().firstValue("Content-Type").orElse("");
     return type.startsWith(Problem.CONTENT_TYPE);
--- a/product/src/main/java/io/foxtaildoor/process/cli/RequestCommand.java
+++ b/product/src/main/java/io/foxtaildoor/process/cli/RequestCommand.java
@@ -3,7 +3,6 @@
 import io.foxtaildoor.common.ErrorKind;
 import io.foxtaildoor.common.FoxtaildoorException;
 import io.foxtaildoor.common.HeaderNames;
-import java.io.IOException;
 import java.io.PrintStream;
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -82,14 +81,6 @@
 
   private HttpResponse<String> send(HttpRequest request) {
     HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
-    try {
-      return client.send(request, HttpResponse.BodyHandlers.ofString());
-    } catch (IOException e) {
-      throw new FoxtaildoorException(
-          ErrorKind.NODE_UNREACHABLE, "node " + node + " does not answer: " + e, e);
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-      throw new FoxtaildoorException(ErrorKind.CANCELLED, "interrupted", e);
-    }
+    return NodeCalls.send(client, request, HttpResponse.BodyHandlers.ofString(), node);
   }
 }
