Share the size check of values by the platform clients

HttpKeyValueStore and BudgetedPlatformClient refused large values with the same code; it is now in KeyValueStore, next to the limit. No change of behaviour.

--- a/product/src/main/java/io/foxtaildoor/process/platform/BudgetedPlatformClient.java
+++ b/product/src/main/java/io/foxtaildoor/process/platform/BudgetedPlatformClient.java
@@ -1,7 +1,5 @@
 package io.foxtaildoor.process.platform;
 
-import io.foxtaildoor.common.ErrorKind;
-import io.foxtaildoor.common.FoxtaildoorException;
 import io.netty.handler.codec.http.HttpMethod;
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
@@ -34,11 +32,7 @@
   @Override
   public CompletableFuture<PlatformResult<PlatformEntry>> compareAndSet(
       String key, long expectedRevision, byte[] value) {
-    if (value.length > MAX_VALUE_BYTES) {
-      throw new FoxtaildoorException(
-          ErrorKind.INVALID_INPUT,
-          "the value of " + key + " exceeds the platform's limit of " + MAX_VALUE_BYTES + " bytes");
-    }
+    KeyValueStore.checkSize(key, value);
     String target = keyPath(key) + "?expected=" + expectedRevision;
     return entryCall(HttpMethod.PUT, target, PlatformResponses.encodeValue(value), NO_WAIT, key);
   }
--- a/product/src/main/java/io/foxtaildoor/process/platform/HttpKeyValueStore.java
+++ b/product/src/main/java/io/foxtaildoor/process/platform/HttpKeyValueStore.java
@@ -1,7 +1,5 @@
 package io.foxtaildoor.process.platform;
 
-import io.foxtaildoor.common.ErrorKind;
-import io.foxtaildoor.common.FoxtaildoorException;
 import io.foxtaildoor.process.platform.StoreProtocol.StoreCall;
 import io.micrometer.core.instrument.MeterRegistry;
 import io.netty.channel.EventLoopGroup;
@@ -45,11 +43,7 @@
   @Override
   public CompletableFuture<PlatformResult<PlatformEntry>> compareAndSet(
       String key, long expectedRevision, byte[] value) {
-    if (value.length > MAX_VALUE_BYTES) {
-      throw new FoxtaildoorException(
-          ErrorKind.INVALID_INPUT,
-          "the value of " + key + " exceeds the platform's limit of " + MAX_VALUE_BYTES + " bytes");
-    }
+    KeyValueStore.checkSize(key, value);
     return execute(protocol.compareAndSet(key, expectedRevision, value));
   }
 
--- a/product/src/main/java/io/foxtaildoor/process/platform/KeyValueStore.java
+++ b/product/src/main/java/io/foxtaildoor/process/platform/KeyValueStore.java
@@ -1,5 +1,7 @@
 package io.foxtaildoor.process.platform;
 
+import io.foxtaildoor.common.ErrorKind;
+import io.foxtaildoor.common.FoxtaildoorException;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 
@@ -13,6 +15,19 @@
   /** Maximum size of a value on the platform, in bytes. */
   int MAX_VALUE_BYTES = 1_000_000;
 
+  /**
+   * Checks the size of a value before it is sent.
+   *
+   * @throws FoxtaildoorException if the value exceeds the limit
+   */
+  static void checkSize(String key, byte[] value) {
+    if (value.length > MAX_VALUE_BYTES) {
+      throw new FoxtaildoorException(
+          ErrorKind.INVALID_INPUT,
+          "the value of " + key + " exceeds the platform's limit of " + MAX_VALUE_BYTES + " bytes");
+    }
+  }
+
   /** Revision of a key that does not exist. */
   long ABSENT_REVISION = 0;
 
