--- a/experiments/src/main/java/io/foxtaildoor/experiments/Http.java
+++ b/experiments/src/main/java/io/foxtaildoor/experiments/Http.java
@@ -17,6 +17,7 @@
 /** HTTP client for processes on loopback. */
 final class Http {
   private static final Duration TIMEOUT = Duration.ofSeconds(30);
+  private static final int SHORT_TIMEOUT_MILLIS = 2_000;
   private static final ObjectMapper JSON = new ObjectMapper();
 
   private final HttpClient client =
@@ -73,6 +74,20 @@
     }
   }
 
+  /** Makes one call on a plain socket and returns the status; 0 when there is no answer. */
+  static int statusOnPlainSocket(int port, String method, String path) {
+    try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+      socket.setSoTimeout(SHORT_TIMEOUT_MILLIS);
+      String request = method + " " + path + " HTTP/1.1\r\nHost: node\r\n\r\n";
+      socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+      byte[] line = socket.getInputStream().readNBytes("HTTP/1.1 200".length());
+      String status = new String(line, StandardCharsets.US_ASCII);
+      return status.startsWith("HTTP/1.1 ") ? Integer.parseInt(status.substring(9)) : 0;
+    } catch (IOException e) {
+      return 0;
+    }
+  }
+
   /** Starts a GET call; its future yields the body, or an empty text when the call fails. */
   CompletableFuture<String> getTextAsync(int port, String path) {
     return client
--- a/experiments/src/main/java/io/foxtaildoor/experiments/Main.java
+++ b/experiments/src/main/java/io/foxtaildoor/experiments/Main.java
@@ -16,7 +16,8 @@
               "convergence", new ConvergenceExperiment(),
               "fleet", new FleetExperiment(),
               "cost", new CostExperiment(),
-              "ranks", new RanksExperiment()));
+              "ranks", new RanksExperiment(),
+              "restart", new RestartExperiment()));
 
   private Main() {}
 
--- a/experiments/src/main/java/io/foxtaildoor/experiments/ManagedMesh.java
+++ b/experiments/src/main/java/io/foxtaildoor/experiments/ManagedMesh.java
@@ -18,7 +18,7 @@
   private static final int PORTS_PER_NODE = 5;
   private static final Duration STOP_TIMEOUT = Duration.ofSeconds(15);
   private static final String RUN_PREFIX = "run = \"";
-  private static final String SETTINGS =
+  static final String SETTINGS =
       """
       node: {cluster: mesh, name: %1$s, region: region, dataCentre: zone, address: 127.0.0.1}
       listeners:
@@ -95,7 +95,7 @@
     Path portFile = directory.resolve(service + ".ports");
     ChildProcess process =
         ChildProcess.start(
-            nodeCommand(settings, portFile),
+            nodeCommand(checkout, extraFlags, settings, portFile),
             Map.of(),
             directory.resolve(service + "-node.log"),
             portFile,
@@ -105,7 +105,9 @@
     return new ManagedNode(process.pid(), ports.get(0));
   }
 
-  private List<String> nodeCommand(Path settings, Path portFile) throws IOException {
+  /** Returns the command of the deploy file of a build that starts a node. */
+  static List<String> nodeCommand(
+      Path checkout, List<String> extraFlags, Path settings, Path portFile) throws IOException {
     String run =
         Files.readAllLines(checkout.resolve("deploy/system.toml")).stream()
             .filter(line -> line.startsWith(RUN_PREFIX))
@@ -119,7 +121,8 @@
     return command;
   }
 
-  private static List<Integer> freePorts() throws IOException {
+  /** Finds free ports for the listeners of a node, in the order of the settings. */
+  static List<Integer> freePorts() throws IOException {
     List<ServerSocket> sockets = new ArrayList<>();
     List<Integer> ports = new ArrayList<>();
     try {
