--- a/product/src/test/java/io/foxtaildoor/process/membership/SwimCoreTest.java
+++ b/product/src/test/java/io/foxtaildoor/process/membership/SwimCoreTest.java
@@ -128,6 +128,43 @@
       assertTrue(restarted.joined);
     }
 
+    /**
+     * Guards against restarted nodes that stay alone while the platform is down, although the nodes
+     * that kept running still send datagrams to their addresses.
+     */
+    @Test
+    public void halfOfFleetRestartedWithoutContactsRejoins() {
+      List<Node> fleet = new ArrayList<>();
+      FakeNetwork network = joinedFleet(13, 20, fleet);
+      network.run(Duration.ofMinutes(2));
+      for (int host = 0; host < 20; host += 2) {
+        network.start(host, 200, List.of());
+      }
+      network.runUntil(Duration.ofSeconds(30), network::converged);
+    }
+
+    /**
+     * Guards against a fleet that restarted as a whole and does not come together once the platform
+     * tells the contact addresses.
+     */
+    @Test
+    public void fleetRestartedWithoutContactsJoinsOncePlatformTellsThem() {
+      List<Node> fleet = new ArrayList<>();
+      FakeNetwork network = joinedFleet(14, 20, fleet);
+      fleet.forEach(network::kill);
+      // No datagram of the previous processes is under way any more.
+      network.run(Duration.ofSeconds(1));
+      List<Node> restarted = new ArrayList<>();
+      for (int host = 0; host < 20; host++) {
+        restarted.add(network.start(host, 200, List.of()));
+      }
+      network.run(Duration.ofSeconds(20));
+      restarted.forEach(node -> assertEquals(node.liveNodeCount(), 1));
+      List<InetSocketAddress> contacts = List.of(restarted.get(0).address());
+      restarted.forEach(node -> node.core.setContacts(contacts));
+      network.runUntil(Duration.ofSeconds(30), network::converged);
+    }
+
     /**
      * Guards against joins that fail while many nodes restart, and against ids of previous
      * processes that remain live.
--- a/product/src/test/java/io/foxtaildoor/process/platform/MeshContactDirectoryTest.java
+++ b/product/src/test/java/io/foxtaildoor/process/platform/MeshContactDirectoryTest.java
@@ -59,6 +59,23 @@
     assertEquals(directory.read().join(), List.of(address(3)));
   }
 
+  /**
+   * Guards against an outage that removes the addresses of the mesh, or that a reader takes for a
+   * mesh without other nodes.
+   */
+  @Test
+  public void entriesOutlastAnOutage() throws UnknownHostException {
+    InMemoryKeyValueStore store = new InMemoryKeyValueStore();
+    store.compareAndSet(KEY, KeyValueStore.ABSENT_REVISION, bytes(SOUND)).join();
+    MeshContactDirectory directory = new MeshContactDirectory(store);
+    store.setDown(true);
+    assertEquals(
+        directory.refresh(new DataCentreId("oslo-b"), address(3), alive -> false).join(),
+        List.of());
+    store.setDown(false);
+    assertEquals(directory.read().join(), List.of(address(2)));
+  }
+
   private static byte[] bytes(String text) {
     return text.getBytes(StandardCharsets.UTF_8);
   }
--- a/product/src/test/java/io/foxtaildoor/process/platform/ReaderElectionTest.java
+++ b/product/src/test/java/io/foxtaildoor/process/platform/ReaderElectionTest.java
@@ -98,6 +98,23 @@
     assertEquals(fleet.readers().size(), 2);
   }
 
+  /**
+   * Guards against restarted nodes that act on a lease of their previous process, and against
+   * leases that lapsed in an outage and are never taken again.
+   */
+  @Test(dataProvider = "seeds")
+  public void restartedNodesTakeLapsedLeases(long seed) {
+    Fleet fleet = new Fleet(20, seed);
+    fleet.run(60 * SECOND);
+    fleet.down = true;
+    fleet.restart(seed);
+    fleet.run(12 * SECOND);
+    assertEquals(fleet.readers().size(), 0);
+    fleet.down = false;
+    fleet.run(30 * SECOND);
+    assertEquals(fleet.readers().size(), 2);
+  }
+
   /** Guards against a node that cannot use a lease it was granted because the response was lost. */
   @Test
   public void acquireIsRetriedOnTheSameSlotAfterALostResponse() {
@@ -137,6 +154,15 @@
       }
     }
 
+    /** Replaces the processes of all nodes by new ones, which know of no lease. */
+    void restart(long seed) {
+      pendingSteps.clear();
+      elections.replaceAll(
+          (id, previous) ->
+              new ReaderElection(
+                  id, DATA_CENTRE, SETTINGS, now, new Random(seed * 2_000 + id.hashCode())));
+    }
+
     /**
      * Runs the simulation and checks at each tick that every node that considers itself a reader
      * holds an unexpired lease on the platform.
--- a/product/src/test/java/io/foxtaildoor/request/admission/AdmissionQueueTest.java
+++ b/product/src/test/java/io/foxtaildoor/request/admission/AdmissionQueueTest.java
@@ -245,6 +245,30 @@
     }
   }
 
+  /** The queue of a node that has just started and knows no service times. */
+  public static final class WithoutHistory {
+    /**
+     * Guards against a restarted node that starts more requests than the instance reported, or
+     * keeps requests beyond their deadlines instead of refusing them as not run.
+     */
+    @Test
+    public void burstAfterRestartStaysWithinCapacity() {
+      AdmissionQueue<String> queue = queue(9);
+      int queued = 0;
+      for (int i = 0; i < 200; i++) {
+        queued += queue.offer("r" + i, Rank.LOW, 500 * MILLIS, 0).ticket().isPresent() ? 1 : 0;
+      }
+      int started = 0;
+      while (poll(queue, 0).isPresent()) {
+        started++;
+      }
+      assertEquals(started, 9);
+      List<String> expired = new ArrayList<>();
+      assertTrue(queue.poll(500 * MILLIS, ticket -> expired.add(ticket.request())).isEmpty());
+      assertEquals(expired.size(), queued - started);
+    }
+  }
+
   /** Concurrency limit. */
   public static final class Limit {
     /** Guards against full load on an instance that has just started. */
@@ -257,6 +281,19 @@
       assertEquals(controller.currentLimit(8000 * MILLIS), 9);
     }
 
+    /**
+     * Guards against a restarted node that takes a long-running instance for a cold one, or a cold
+     * one for a long-running one: the age of the instance counts, not that of the node.
+     */
+    @Test
+    public void limitOfRestartedNodeFollowsAgeOfInstance() {
+      AdmissionSettings settings = AdmissionSettings.defaults();
+      UpstreamLimits old = new UpstreamLimits(9, Map.of(), 8000 * MILLIS, -60_000 * MILLIS);
+      UpstreamLimits young = new UpstreamLimits(9, Map.of(), 8000 * MILLIS, -4000 * MILLIS);
+      assertEquals(new LimitController(settings, old).currentLimit(0), 9);
+      assertEquals(new LimitController(settings, young).currentLimit(0), 5);
+    }
+
     /**
      * Guards against a limit that ignores load shedding, collapses within one round trip, or never
      * recovers.
--- a/product/src/test/java/io/foxtaildoor/request/retry/FleetRetryBudgetTest.java
+++ b/product/src/test/java/io/foxtaildoor/request/retry/FleetRetryBudgetTest.java
@@ -107,6 +107,37 @@
     assertWithinBudget(simulate(scenario, seed), 0);
   }
 
+  /** Number of nodes, interval between restarts of all nodes in milliseconds, and seed. */
+  @DataProvider
+  public Object[][] restarts() {
+    return new Object[][] {{3, 3_000, 1L}, {10, 3_000, 2L}, {81, 3_000, 3L}, {10, 12_000, 4L}};
+  }
+
+  /**
+   * Guards against a fleet whose budgets start empty and then admit a share of requests that an
+   * earlier process has already spent.
+   */
+  @Test(dataProvider = "restarts")
+  public void restartedFleetKeepsShareOfRequests(int nodes, int intervalMillis, long seed) {
+    Scenario scenario =
+        new Scenario(nodes, SECONDS, List.of(900.0), 0, failing(0, 1), intervalMillis);
+    assertWithinBudget(simulate(scenario, seed), 0);
+  }
+
+  /**
+   * Guards against a fleet that no longer knows which runs are repeats, and then retries the calls
+   * that they make.
+   */
+  @Test(dataProvider = "restarts")
+  public void callsOfRestartedFleetStayWithinBudget(int nodes, int intervalMillis, long seed) {
+    Scenario scenario =
+        new Scenario(
+            nodes, SECONDS, List.of(900.0, 100.0), 1.4, (service, millis) -> 0.5, intervalMillis);
+    FleetRetrySimulation simulation = simulate(scenario, seed);
+    assertWithinBudget(simulation, 0);
+    assertWithinBudget(simulation, 1);
+  }
+
   /** Guards against repeats that multiply along a call chain. */
   @Test
   public void repeatsStayWithinBudgetAtAnyDepth() {
--- a/product/src/test/java/io/foxtaildoor/version/distribution/ConfigurationDistributorTest.java
+++ b/product/src/test/java/io/foxtaildoor/version/distribution/ConfigurationDistributorTest.java
@@ -130,6 +130,64 @@
     }
   }
 
+  /** Restarts while no node can read the configuration from the platform. */
+  public static final class Restarts {
+    /** Guards against a restarted node that stays without a configuration that its peers hold. */
+    @Test(dataProvider = "seeds", dataProviderClass = ConfigurationDistributorTest.class)
+    public void restartedNodesReceiveConfigurationFromPeers(long seed) {
+      SimulatedFleet fleet = new SimulatedFleet(40, seed);
+      VersionSequence versions = start(fleet, 10);
+      for (int i = 0; i < 39; i++) {
+        fleet.restart(i);
+      }
+      assertConverges(fleet, versions);
+      assertConsistent(fleet);
+    }
+
+    /**
+     * Guards against a restarted node that stays at the older version of a peer which was cut off,
+     * or goes back to it.
+     */
+    @Test(dataProvider = "seeds", dataProviderClass = ConfigurationDistributorTest.class)
+    public void restartedNodesReceiveNewestVersionOfPeers(long seed) {
+      SimulatedFleet fleet = new SimulatedFleet(10, seed);
+      VersionSequence versions = start(fleet, 10);
+      for (int i = 5; i < 10; i++) {
+        fleet.nodes.get(i).isolated = true;
+      }
+      fleet.nodes.get(0).publish(versions.change(1));
+      fleet.time.advance(5 * SECOND);
+      for (int i = 1; i < 5; i++) {
+        fleet.restart(i);
+      }
+      for (int i = 5; i < 10; i++) {
+        fleet.nodes.get(i).isolated = false;
+      }
+      assertConverges(fleet, versions);
+      assertConsistent(fleet);
+    }
+
+    /**
+     * Guards against nodes that put anything into force while no node of the fleet holds a
+     * configuration, and against nodes that miss it once one of them has read it.
+     */
+    @Test(dataProvider = "seeds", dataProviderClass = ConfigurationDistributorTest.class)
+    public void restartedFleetHoldsNothingUntilOneNodeHasReadPlatform(long seed) {
+      SimulatedFleet fleet = new SimulatedFleet(20, seed);
+      VersionSequence versions = start(fleet, 10);
+      for (int i = 0; i < 20; i++) {
+        fleet.restart(i);
+      }
+      fleet.time.advance(20 * SECOND);
+      for (SimulatedFleet.Node node : fleet.nodes) {
+        assertEquals(node.held().stamp(), VersionStamp.NONE);
+      }
+      fleet.nodes.get(7).publish(versions);
+      assertConverges(fleet, versions);
+      assertConsistent(fleet);
+    }
+  }
+
   /** Faulty networks and nodes. */
   public static final class Faults {
     /**
--- a/product/src/test/java/io/foxtaildoor/version/distribution/SimulatedFleet.java
+++ b/product/src/test/java/io/foxtaildoor/version/distribution/SimulatedFleet.java
@@ -97,6 +97,14 @@
     return takenNanos;
   }
 
+  /** Replaces the process of a node by a new one, which holds no configuration. */
+  void restart(int index) {
+    nodes.get(index).isolated = true;
+    Node restarted = new Node(index, new Random(random.nextLong()));
+    nodes.set(index, restarted);
+    restarted.start();
+  }
+
   long totalBreaches() {
     return nodes.stream().mapToLong(node -> node.invariants.totalBreaches()).sum();
   }
