--- a/product/src/test/java/io/foxtaildoor/process/node/ManagedMesh.java
+++ b/product/src/test/java/io/foxtaildoor/process/node/ManagedMesh.java
@@ -150,6 +150,11 @@
     return node;
   }
 
+  /** Kills the store, which stays down. */
+  void killStore() {
+    processes.get(0).kill();
+  }
+
   private TestProcess startProcess(String name, Path settings) throws IOException {
     Path portFile = directory.resolve(name + ".ports");
     Files.deleteIfExists(portFile);
