Join through each unknown node while no contact address is known

Nodes that restarted together while the platform was down joined through each other and could miss all nodes that kept running until the next periodic state exchange, up to minutes later; they refused requests with live instances within reach. Until it knows a contact address, a node now exchanges records with every sender that it has no record of.

--- a/product/src/main/java/io/foxtaildoor/process/membership/StateExchangeScheduler.java
+++ b/product/src/main/java/io/foxtaildoor/process/membership/StateExchangeScheduler.java
@@ -139,12 +139,15 @@
   }
 
   /**
-   * Requests an exchange with the sender of a datagram while the node has not joined and knows no
-   * contact address. The platform that holds the addresses may be down when a node restarts, and
-   * other nodes still send datagrams to its address.
+   * Requests an exchange with the sender of a datagram while the node knows no contact address, if
+   * the node has not joined or does not know the sender. The platform that holds the addresses may
+   * be down when a node restarts, and other nodes still send datagrams to its address. The node
+   * through which it joined may have restarted as well and know as little.
+   *
+   * @param isKnown whether the node has a record of the sender
    */
-  void joinThroughSender(InetSocketAddress sender, long nowNanos) {
-    if (!joined && contacts.isEmpty() && !exchangeRunning) {
+  void joinThroughSender(InetSocketAddress sender, boolean isKnown, long nowNanos) {
+    if ((!joined || !isKnown) && contacts.isEmpty() && !exchangeRunning) {
       request(sender, nowNanos);
     }
   }
--- a/product/src/main/java/io/foxtaildoor/process/membership/SwimCore.java
+++ b/product/src/main/java/io/foxtaildoor/process/membership/SwimCore.java
@@ -148,9 +148,9 @@
   void onDatagram(InetSocketAddress from, Datagram datagram, long nowNanos) {
     NodeId sender = new NodeId(datagram.getSender());
     fleet.checkSenderAddress(from, sender, datagram.getSenderIncarnation(), nowNanos);
-    exchangeScheduler.joinThroughSender(from, nowNanos);
     long incarnation = local.record().incarnation();
     mergeUpdates(datagram, nowNanos);
+    exchangeScheduler.joinThroughSender(from, table.record(sender) != null, nowNanos);
     boolean refuted = local.record().incarnation() != incarnation;
     reportVersion(from, VersionStamp.of(datagram.getHeld()));
     switch (datagram.getBodyCase()) {
--- a/product/src/test/java/io/foxtaildoor/process/membership/SwimCoreTest.java
+++ b/product/src/test/java/io/foxtaildoor/process/membership/SwimCoreTest.java
@@ -143,6 +143,25 @@
       network.runUntil(Duration.ofSeconds(30), network::converged);
     }
 
+    /**
+     * Guards against nodes that restart together while the platform is down, join through each
+     * other, and find none of the nodes that kept running.
+     */
+    @Test
+    public void nodesRestartedTogetherFindThoseThatKeptRunning() {
+      for (int seed = 0; seed < 40; seed++) {
+        List<Node> fleet = new ArrayList<>();
+        FakeNetwork network = joinedFleet(seed, 4, fleet);
+        network.run(Duration.ofSeconds(20));
+        network.kill(fleet.get(0));
+        network.kill(fleet.get(1));
+        network.run(Duration.ofMillis(500));
+        network.start(0, 200, List.of());
+        network.start(1, 200, List.of());
+        network.runUntil(Duration.ofSeconds(10), network::converged);
+      }
+    }
+
     /**
      * Guards against a fleet that restarted as a whole and does not come together once the platform
      * tells the contact addresses.
