End a node that cannot bind a port

Netty throws the checked BindException undeclared, and the entry point caught only unchecked exceptions. A node whose caller or operator port was in use lost its main thread and stayed alive without serving; since the hook for SIGTERM is installed early, SIGTERM did not end it either. The process now ends with exit code 1, and the hook is removed whatever ends the command.

The new test StartSignalIT.failedStartEndsProcess fails on the commit before (the process did not end in 60 s).

--- a/product/src/main/java/io/foxtaildoor/process/cli/Main.java
+++ b/product/src/main/java/io/foxtaildoor/process/cli/Main.java
@@ -27,8 +27,12 @@
       // Before classes of other packages are loaded, because an earlier signal ends the process.
       signals.install();
     }
-    int code = run(args, System.out, System.err, signals);
-    signals.termination().remove();
+    int code = EXIT_FAILURE;
+    try {
+      code = run(args, System.out, System.err, signals);
+    } finally {
+      signals.termination().remove();
+    }
     System.exit(code);
   }
 
@@ -47,7 +51,8 @@
     } catch (FoxtaildoorException e) {
       err.println("foxtaildoor: " + e.getMessage());
       return e.kind().exitCode();
-    } catch (RuntimeException e) {
+    } catch (Exception e) {
+      // Netty also throws checked exceptions undeclared, such as BindException.
       err.println("foxtaildoor: " + ErrorKind.INTERNAL.headerValue() + ": " + e);
       return EXIT_FAILURE;
     }
--- a/product/src/test/java/io/foxtaildoor/process/node/StartSignalIT.java
+++ b/product/src/test/java/io/foxtaildoor/process/node/StartSignalIT.java
@@ -6,6 +6,8 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -18,7 +20,7 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
-/** Tests of signals that a node process receives while it starts. */
+/** Tests of the start of a node process, and of signals that it receives meanwhile. */
 public class StartSignalIT {
   private static final String SETTINGS =
       """
@@ -136,6 +138,24 @@
     assertEquals(node.terminate(), 0, node.log());
   }
 
+  /**
+   * Guards against a process that neither serves nor ends, and that no signal stops, because a
+   * listener of the node could not bind its port.
+   */
+  @Test
+  public void failedStartEndsProcess() throws IOException {
+    try (ServerSocket used = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      Files.writeString(
+          settings,
+          SETTINGS
+              .formatted(10)
+              .replace("operatorPort: 0", "operatorPort: " + used.getLocalPort()));
+      startNode();
+      Polling.await("the end of the process", () -> !node.isAlive());
+      assertEquals(node.terminate(), 1, node.log());
+    }
+  }
+
   private void startNode() {
     node =
         TestProcess.start(
