Find a failure that a stray response hides

A status line in the body of a stray fails the request, also in the case that waited for the deadline before (responseHiddenInStrayIsNotForwarded, which expects the failure now).

--- a/product/src/main/java/io/foxtaildoor/connection/upstream/ResponseRecording.java
+++ b/product/src/main/java/io/foxtaildoor/connection/upstream/ResponseRecording.java
@@ -1,6 +1,7 @@
 package io.foxtaildoor.connection.upstream;
 
 import com.google.protobuf.ByteString;
+import io.foxtaildoor.common.HeaderNames;
 import io.foxtaildoor.protocol.Header;
 import io.foxtaildoor.protocol.ResponseStart;
 import io.foxtaildoor.request.idempotency.KeyClaimResult;
@@ -40,7 +41,9 @@
     }
     ResponseStart.Builder recorded = start.clone().clearLoad().clearStream().clearHeaders();
     for (Header header : start.getHeadersList()) {
-      if (!header.getName().equalsIgnoreCase(requestIdHeader)) {
+      String name = header.getName();
+      if (!name.equalsIgnoreCase(requestIdHeader)
+          && !name.equalsIgnoreCase(HeaderNames.REQUEST_ID)) {
         recorded.addHeaders(header);
       }
     }
--- a/product/src/main/java/io/foxtaildoor/connection/upstream/StrayResponseLog.java
+++ b/product/src/main/java/io/foxtaildoor/connection/upstream/StrayResponseLog.java
@@ -6,9 +6,9 @@
 import java.util.Locale;
 
 /**
- * Logs responses that belong to another request than the one in progress, with the facts that tell
- * where they come from. The rate of the lines is limited, and each line states how many lines were
- * omitted before it.
+ * Logs responses that belong to another request than the one in progress: both ids, the status, and
+ * whether the other request was sent on the connection before. The rate of the lines is limited,
+ * and each line states how many lines were omitted before it.
  */
 final class StrayResponseLog {
   private static final Logger LOGGER = System.getLogger(StrayResponseLog.class.getName());
@@ -16,6 +16,9 @@
   /** At 0.2 ms a line, the lines use at most 0.2% of a core. */
   private static final int LINES_PER_SECOND = 10;
 
+  /** Longer ids are cut, since a faulty upstream chooses the id. */
+  private static final int MAX_ID_LENGTH = 80;
+
   private final LogRateLimiter lineBudget = new LogRateLimiter(LINES_PER_SECOND);
 
   /**
@@ -45,7 +48,7 @@
                       + " the connection before; requests on the connection %d, omitted lines %d",
                   requestId,
                   status,
-                  namedId,
+                  namedId.substring(0, Math.min(namedId.length(), MAX_ID_LENGTH)),
                   sentEarlier ? "was" : "was not",
                   requests,
                   omittedLines));
--- a/product/src/main/java/io/foxtaildoor/connection/upstream/UpstreamConnection.java
+++ b/product/src/main/java/io/foxtaildoor/connection/upstream/UpstreamConnection.java
@@ -1,5 +1,6 @@
 package io.foxtaildoor.connection.upstream;
 
+import io.foxtaildoor.connection.head.ExchangeResponseDecoder;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -28,13 +29,17 @@
  * A connection to the upstream that carries at most one exchange at a time. It is confined to the
  * pool's event loop.
  */
-final class UpstreamConnection extends SimpleChannelInboundHandler<HttpObject> {
-  /** Bounds the request ids that a connection remembers. */
+final class UpstreamConnection extends SimpleChannelInboundHandler<HttpObject>
+    implements ExchangeResponseDecoder.Exchanges {
+  /**
+   * Bounds the request ids that a connection remembers: 8 KB, for one new connection in 1,000
+   * requests.
+   */
   private static final int MAX_REQUESTS = 1_000;
 
   private final UpstreamPool pool;
   private Channel channel;
-  private UpstreamResponseDecoder decoder;
+  private ExchangeResponseDecoder decoder;
   private ExchangeListener listener;
   private boolean headRequest;
   private boolean used;
@@ -43,6 +48,7 @@
   private boolean keepAlive;
   private boolean interimResponse;
   private boolean strayResponse;
+  private final StrayBodyScanner strayBody = new StrayBodyScanner();
   private boolean faulty;
   private long idleSinceNanos;
   private Duration keepAliveTimeout = KeepAlive.UNSPECIFIED;
@@ -97,18 +103,18 @@
   }
 
   /** Creates the decoder of this connection, which precedes it in the pipeline. */
-  UpstreamResponseDecoder createDecoder(HttpDecoderConfig config) {
-    decoder = new UpstreamResponseDecoder(config, this);
+  ExchangeResponseDecoder createDecoder(HttpDecoderConfig config) {
+    decoder = new ExchangeResponseDecoder(config, this);
     return decoder;
   }
 
-  /** Whether a request is in progress. */
-  boolean hasExchange() {
+  @Override
+  public boolean hasExchange() {
     return listener != null;
   }
 
-  /** Whether a response belongs to the request in progress and that is a HEAD request. */
-  boolean isResponseToHead(HttpResponse httpResponse) {
+  @Override
+  public boolean isResponseToHead(HttpResponse httpResponse) {
     return headRequest && listener != null && listener.isResponseToRequest(httpResponse);
   }
 
@@ -116,7 +122,8 @@
    * Closes the connection, because bytes without a request in progress belong to no request, and
    * those that follow could be attributed to the wrong one.
    */
-  void unexpectedBytesReceived() {
+  @Override
+  public void unexpectedBytesReceived() {
     close();
   }
 
@@ -314,7 +321,7 @@
       faulty |= strayResponse;
     }
     if (strayResponse) {
-      strayResponse = !(message instanceof LastHttpContent);
+      skipStray(message);
       return;
     }
     // The codec adds an empty last content to each interim response; it does not end the exchange.
@@ -328,6 +335,22 @@
     }
   }
 
+  /** Drops a part of a response to another request. */
+  private void skipStray(HttpObject message) {
+    if (message instanceof HttpResponse) {
+      strayBody.reset();
+    }
+    if (listener != null
+        && message instanceof HttpContent content
+        && strayBody.findsStatusLine(content.content())) {
+      ExchangeListener failed = listener;
+      abandon();
+      failed.responseMalformed(
+          new IllegalStateException("a response to another request contains a status line"));
+    }
+    strayResponse = !(message instanceof LastHttpContent);
+  }
+
   /**
    * Ends the exchange when its response is complete. The connection returns to the pool if it can
    * carry another request; otherwise it closes.
--- a/product/src/test/java/io/foxtaildoor/connection/upstream/ResponseFramingTest.java
+++ b/product/src/test/java/io/foxtaildoor/connection/upstream/ResponseFramingTest.java
@@ -12,8 +12,10 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import io.foxtaildoor.common.HeaderDialect;
 import io.foxtaildoor.connection.upstream.UpstreamFixture.Call;
 import java.io.IOException;
+import java.time.Duration;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -69,6 +71,57 @@
     }
   }
 
+  /** Tests of heads that only look like two. */
+  public static final class SoundHeads extends SignedUpstreamTestBase {
+    @DataProvider
+    public Object[][] headers() {
+      return new Object[][] {
+        {"Via: HTTP/1.1 192.168.0.1:8080"}, {"Via: 1.1 gateway"}, {"Upgrade: HTTP/2.0"},
+      };
+    }
+
+    /** Guards against refusing a response because of a protocol version in a header. */
+    @Test(dataProvider = "headers")
+    public void headWithProtocolVersionIsForwarded(String header) throws IOException {
+      String response = head("200 OK", "r") + header + "\r\nContent-Length: 2\r\n\r\nok";
+      Call call =
+          call(
+              connection -> {
+                connection.readHead();
+                connection.write(response);
+                connection.readHead();
+              });
+      assertEquals(outcome(call), "200 ok");
+    }
+  }
+
+  /** Tests of heads in the dialect without signatures. */
+  public static final class UnsignedHeads {
+    @DataProvider
+    public Object[][] ids() {
+      return new Object[][] {{"other", "r"}, {"r", "other"}, {"r", "r"}};
+    }
+
+    /** Guards against a response that names its request and another one. */
+    @Test(dataProvider = "ids")
+    public void responseWithTwoIdsIsNotForwarded(String first, String second) throws IOException {
+      String name = HeaderDialect.STANDARD.requestId();
+      String ids = name + ": " + first + "\r\n" + name + ": " + second + "\r\n";
+      ScriptedUpstream.Script script =
+          connection -> {
+            connection.readHead();
+            connection.write("HTTP/1.1 200 OK\r\n" + ids + EMPTY);
+            connection.readHead();
+          };
+      try (UpstreamFixture fixture =
+              new UpstreamFixture(9, Duration.ofSeconds(20), 0, HeaderDialect.STANDARD);
+          ScriptedUpstream upstream = new ScriptedUpstream(script)) {
+        fixture.attach(upstream.address());
+        assertUnattributed(fixture.call(request("GET", "r")), first + ", " + second);
+      }
+    }
+  }
+
   /** Tests of responses to HEAD, which state the length of a body that does not follow. */
   public static final class HeadRequests extends SignedUpstreamTestBase {
     private static final String LENGTH = "Content-Length: 20\r\n\r\n";
