Close an idle connection that carried the id of a new request

One idle connection makes room now; repeatedIdDoesNotAccumulateConnections had 20 open before and has 4 at most. The counter of repeated ids counts these closes, since a connection with the id is never used.

--- a/product/src/main/java/io/foxtaildoor/connection/upstream/UpstreamMetrics.java
+++ b/product/src/main/java/io/foxtaildoor/connection/upstream/UpstreamMetrics.java
@@ -72,7 +72,7 @@
     registry.counter(PREFIX + "stray.answers").increment();
   }
 
-  /** Counts a request whose id was sent on its connection before. */
+  /** Counts a connection that closes because it carried the id of a new request before. */
   void countRepeatedId() {
     registry.counter(PREFIX + "repeated.ids").increment();
   }
--- a/product/src/main/java/io/foxtaildoor/connection/upstream/UpstreamPool.java
+++ b/product/src/main/java/io/foxtaildoor/connection/upstream/UpstreamPool.java
@@ -35,18 +35,29 @@
   private final String authority;
   private final UpstreamSettings settings;
   private final LongSupplier clock;
+  private final Runnable onRepeatedId;
   private final ArrayDeque<UpstreamConnection> idle = new ArrayDeque<>();
   private int open;
   private int limit = 1;
   private boolean closed;
 
+  /**
+   * Creates a pool without connections.
+   *
+   * @param onRepeatedId runs when a connection is closed because it carried the id of a new request
+   */
   UpstreamPool(
-      EventLoop loop, InetSocketAddress address, UpstreamSettings settings, LongSupplier clock) {
+      EventLoop loop,
+      InetSocketAddress address,
+      UpstreamSettings settings,
+      LongSupplier clock,
+      Runnable onRepeatedId) {
     this.loop = loop;
     this.address = address;
     this.authority = address.getHostString() + ":" + address.getPort();
     this.settings = settings;
     this.clock = clock;
+    this.onRepeatedId = onRepeatedId;
   }
 
   InetSocketAddress address() {
@@ -78,8 +89,11 @@
       ready.accept(reused.get());
       return;
     }
-    if (open >= limit && !idle.isEmpty()) {
-      idle.pollFirst().close();
+    if (!idle.isEmpty()) {
+      // All idle connections carried the id. One makes room, because the upstream limits the number
+      // of connections.
+      onRepeatedId.run();
+      idle.pollLast().close();
     }
     if (open >= limit) {
       failed.accept(
--- a/product/src/main/java/io/foxtaildoor/connection/upstream/UpstreamServer.java
+++ b/product/src/main/java/io/foxtaildoor/connection/upstream/UpstreamServer.java
@@ -136,7 +136,7 @@
 
   private void replace(InetSocketAddress address) {
     closePool();
-    pool = new UpstreamPool(loop, address, settings, clock);
+    pool = new UpstreamPool(loop, address, settings, clock, metrics::countRepeatedId);
     drain.upstreamReplaced(exchanges.size());
     admission.endDrain();
   }
