Close a connection to the store on bytes that belong to no response

A refused conditional write would count as done. It uses the decoder of the connections to the upstream now, in connection.head.

--- a/product/src/main/java/io/foxtaildoor/process/platform/Endpoint.java
+++ b/product/src/main/java/io/foxtaildoor/process/platform/Endpoint.java
@@ -10,9 +10,9 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.AttributeKey;
@@ -148,9 +148,11 @@
     @Override
     public void channelCreated(Channel channel) {
       channel.attr(OPENED_NANOS).set(clock.getAsLong());
-      channel.pipeline().addLast(new HttpClientCodec());
+      ExchangeHandler handler = new ExchangeHandler();
+      channel.pipeline().addLast(new HttpRequestEncoder());
+      channel.pipeline().addLast(handler.createDecoder());
       channel.pipeline().addLast(new HttpObjectAggregator(MAX_RESPONSE_BYTES));
-      channel.pipeline().addLast(new ExchangeHandler());
+      channel.pipeline().addLast(handler);
     }
   }
 }
--- a/product/src/main/java/io/foxtaildoor/process/platform/ExchangeHandler.java
+++ b/product/src/main/java/io/foxtaildoor/process/platform/ExchangeHandler.java
@@ -1,9 +1,12 @@
 package io.foxtaildoor.process.platform;
 
+import io.foxtaildoor.connection.head.ExchangeResponseDecoder;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
@@ -15,11 +18,34 @@
  * response cannot be mistaken for the response to a later request.
  */
 @SuppressWarnings("FutureReturnValueIgnored") // A failed write closes the channel.
-final class ExchangeHandler extends SimpleChannelInboundHandler<FullHttpResponse> {
+final class ExchangeHandler extends SimpleChannelInboundHandler<FullHttpResponse>
+    implements ExchangeResponseDecoder.Exchanges {
   private ChannelHandlerContext context;
+  private ExchangeResponseDecoder decoder;
   private Consumer<ExchangeOutcome> pendingCallback;
   private Future<?> timeout;
 
+  /** Creates the decoder of this connection, which precedes the handler in the pipeline. */
+  ExchangeResponseDecoder createDecoder() {
+    decoder = new ExchangeResponseDecoder(new HttpDecoderConfig(), this);
+    return decoder;
+  }
+
+  @Override
+  public boolean hasExchange() {
+    return pendingCallback != null;
+  }
+
+  @Override
+  public void unexpectedBytesReceived() {
+    abort("bytes without a request in progress");
+  }
+
+  @Override
+  public boolean isResponseToHead(HttpResponse response) {
+    return false;
+  }
+
   /**
    * Sends a request; must be called on the channel's event loop. The callback is invoked exactly
    * once.
@@ -56,7 +82,7 @@
     }
     byte[] body = new byte[response.content().readableBytes()];
     response.content().readBytes(body);
-    if (!HttpUtil.isKeepAlive(response)) {
+    if (!HttpUtil.isKeepAlive(response) || decoder.hasUndecodedBytes()) {
       ctx.close();
     }
     complete(new ExchangeOutcome.Answered(response.status().code(), body));
--- a/product/src/test/java/io/foxtaildoor/process/platform/HttpPlatformClientResponseTest.java
+++ b/product/src/test/java/io/foxtaildoor/process/platform/HttpPlatformClientResponseTest.java
@@ -231,6 +231,21 @@
     assertEquals(mixedUp, false);
   }
 
+  @DataProvider
+  public Object[][] startsOfResponses() {
+    return new Object[][] {{"HTTP/1.1 200 "}, {"HTTP/1.1 200 OK\r\nX-A: "}, {"\r\n"}};
+  }
+
+  /** Guards against a status that is joined from bytes after a response and the next response. */
+  @Test(dataProvider = "startsOfResponses")
+  public void bytesAfterResponseAreNoPartOfTheNext(String start) {
+    scriptedExchanges.add(respondWith(ok(GOOD) + start));
+    assertEquals(done(client.get("k")).revision(), 1);
+    scriptedExchanges.add(respondWith(ok(GOOD).replace("200 OK", "404 Not Found")));
+    PlatformResult<PlatformEntry> next = await(client.get("k"));
+    assertTrue(next instanceof PlatformResult.Unavailable, String.valueOf(next));
+  }
+
   /** Guards against a client that keeps using an idle connection that the platform has closed. */
   @Test
   public void connectionClosedWhileIdleIsReplaced() {
