--- a/product/src/main/java/io/foxtaildoor/connection/head/package-info.java
+++ b/product/src/main/java/io/foxtaildoor/connection/head/package-info.java
@@ -1,5 +1,6 @@
 /**
- * Heads of HTTP messages: a compact list of headers, and the headers that are not forwarded. Shared
- * by the connections of callers and upstreams.
+ * Heads of HTTP messages: a compact list of headers, the headers that are not forwarded, and the
+ * decoder of the responses to a client. Shared by the connections of callers, upstreams and the
+ * platform.
  */
 package io.foxtaildoor.connection.head;
--- a/product/src/main/java/io/foxtaildoor/connection/upstream/UpstreamConnection.java
+++ b/product/src/main/java/io/foxtaildoor/connection/upstream/UpstreamConnection.java
@@ -38,6 +38,8 @@
   private static final int MAX_REQUESTS = 1_000;
 
   private final UpstreamPool pool;
+  private final SentRequestIds sentIds = new SentRequestIds();
+  private final StrayBodyScanner strayBody = new StrayBodyScanner();
   private Channel channel;
   private ExchangeResponseDecoder decoder;
   private ExchangeListener listener;
@@ -47,12 +49,10 @@
   private boolean responseComplete;
   private boolean keepAlive;
   private boolean interimResponse;
-  private boolean strayResponse;
-  private final StrayBodyScanner strayBody = new StrayBodyScanner();
-  private boolean faulty;
+  private boolean readingStray;
+  private boolean strayReceived;
   private long idleSinceNanos;
   private Duration keepAliveTimeout = KeepAlive.UNSPECIFIED;
-  private final SentRequestIds sentIds = new SentRequestIds();
 
   /** Receives the events of the exchange that the connection carries. */
   interface ExchangeListener {
@@ -140,7 +140,7 @@
 
   /** Whether a response to another request has begun and not ended yet. */
   boolean isReadingStray() {
-    return strayResponse;
+    return readingStray;
   }
 
   /** Ids of the requests that were sent on the connection, including the one in progress. */
@@ -175,7 +175,7 @@
     sentIds.add(requestId);
     requestWritten = false;
     responseComplete = false;
-    strayResponse = false;
+    readingStray = false;
     keepAlive = false;
     headRequest = head.method().equals(HttpMethod.HEAD);
     ChannelProgressivePromise promise = channel.newProgressivePromise();
@@ -317,10 +317,10 @@
       interimResponse = httpResponse.status().codeClass() == HttpStatusClass.INFORMATIONAL;
       keepAlive = HttpUtil.isKeepAlive(httpResponse);
       keepAliveTimeout = KeepAlive.timeout(httpResponse).orElse(keepAliveTimeout);
-      strayResponse = !listener.responseHead(httpResponse);
-      faulty |= strayResponse;
+      readingStray = !listener.responseHead(httpResponse);
+      strayReceived |= readingStray;
     }
-    if (strayResponse) {
+    if (readingStray) {
       skipStray(message);
       return;
     }
@@ -348,7 +348,7 @@
       failed.responseMalformed(
           new IllegalStateException("a response to another request contains a status line"));
     }
-    strayResponse = !(message instanceof LastHttpContent);
+    readingStray = !(message instanceof LastHttpContent);
   }
 
   /**
@@ -375,7 +375,7 @@
   private boolean isReusable() {
     return requestWritten
         && keepAlive
-        && !faulty
+        && !strayReceived
         && !decoder.hasUndecodedBytes()
         && sentIds.count() < MAX_REQUESTS
         && channel.isActive();
