--- a/product/src/main/java/io/foxtaildoor/connection/upstream/UpstreamConnection.java
+++ b/product/src/main/java/io/foxtaildoor/connection/upstream/UpstreamConnection.java
@@ -7,8 +7,6 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelProgressiveFuture;
-import io.netty.channel.ChannelProgressiveFutureListener;
 import io.netty.channel.ChannelProgressivePromise;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -179,7 +177,7 @@
     keepAlive = false;
     headRequest = head.method().equals(HttpMethod.HEAD);
     ChannelProgressivePromise promise = channel.newProgressivePromise();
-    promise.addListener(new HeadWriteListener(newListener, end));
+    promise.addListener(new HeadWriteListener(this, newListener, end));
     var unused = channel.writeAndFlush(end ? withoutBody(head) : head, promise);
   }
 
@@ -193,62 +191,30 @@
         EmptyHttpHeaders.INSTANCE);
   }
 
-  /** Distinguishes a request head of which no byte reached the socket from a partly written one. */
-  private final class HeadWriteListener implements ChannelProgressiveFutureListener {
-    private final ExchangeListener listener;
-    private final boolean end;
-    private boolean firstByteReported;
-
-    HeadWriteListener(ExchangeListener listener, boolean end) {
-      this.listener = listener;
-      this.end = end;
-    }
-
-    @Override
-    public void operationProgressed(ChannelProgressiveFuture future, long progress, long total) {
-      if (progress > 0) {
-        reportFirstByte();
-      }
-    }
-
-    private void reportFirstByte() {
-      if (!firstByteReported) {
-        firstByteReported = true;
-        listener.firstByteWritten();
-      }
-    }
-
-    @Override
-    public void operationComplete(ChannelProgressiveFuture future) {
-      if (future.isSuccess()) {
-        reportFirstByte();
-        used = true;
-        listener.headWritten();
-        if (end) {
-          requestWritten = true;
-          finishIfDone();
-        }
-      } else if (!firstByteReported) {
-        detach(listener);
-        close();
-        listener.requestNotWritten(future.cause());
-      } else {
-        fail(future.cause());
-      }
+  /** The whole request head was written. */
+  void headWritten(ExchangeListener exchange, boolean end) {
+    used = true;
+    exchange.headWritten();
+    if (end) {
+      requestWritten = true;
+      finishIfDone();
     }
   }
 
-  private void detach(ExchangeListener failed) {
-    if (listener == failed) {
+  /** The connection failed before any byte of the request head was written. */
+  void requestNotWritten(ExchangeListener exchange, Throwable cause) {
+    if (listener == exchange) {
       listener = null;
     }
+    close();
+    exchange.requestNotWritten(cause);
   }
 
   /**
    * Ends the exchange after an error of the connection. The exchange is detached before the close,
    * because the decoder would take the close for the regular end of a response without a length.
    */
-  private void fail(Throwable cause) {
+  void fail(Throwable cause) {
     ExchangeListener last = listener;
     listener = null;
     close();
